Add the design, the build, the base library and the shared interfaces

Cause: the repository was empty, and several parts have to be written at the same time.

Before: nothing.

Conclusion: the parts can be written against these headers.

--- /dev/null
+++ b/cmake/TarragonTargets.cmake
@@ -0,0 +1,49 @@
+# Helpers that declare one library, one set of tests or one binary from a folder,
+# so that adding a source file needs no change to a CMake file.
+
+# tarragon_library(<name> [DEPS <targets>...])
+# Sources: src/<name>/*.cc. Tests: tests/<name>/*_test.cc. Benches: bench/<name>/*_bench.cc.
+function(tarragon_library name)
+  cmake_parse_arguments(ARG "" "" "DEPS;TEST_DEPS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/*.cc)
+  set(target tarragon_${name})
+  if(sources)
+    add_library(${target} STATIC ${sources})
+    set(scope PUBLIC)
+  else()
+    add_library(${target} INTERFACE)
+    set(scope INTERFACE)
+  endif()
+  target_include_directories(${target} ${scope} ${PROJECT_SOURCE_DIR}/include)
+  target_link_libraries(${target} ${scope} ${ARG_DEPS} tarragon_options)
+
+  file(GLOB tests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${name}/*_test.cc)
+  if(tests)
+    add_executable(${name}_test ${tests})
+    target_include_directories(${name}_test PRIVATE ${PROJECT_SOURCE_DIR}/tests
+                                                    ${PROJECT_SOURCE_DIR}/src)
+    target_link_libraries(${name}_test PRIVATE ${target} ${ARG_TEST_DEPS} rapidcheck
+                                               GTest::gmock GTest::gtest_main)
+    gtest_discover_tests(${name}_test TEST_PREFIX ${name}. PROPERTIES TIMEOUT 300
+                         DISCOVERY_TIMEOUT 60)
+  endif()
+
+  file(GLOB benches CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/bench/${name}/*_bench.cc)
+  if(benches)
+    add_executable(${name}_bench ${benches})
+    target_include_directories(${name}_bench PRIVATE ${PROJECT_SOURCE_DIR}/tests)
+    target_link_libraries(${name}_bench PRIVATE ${target} ${ARG_TEST_DEPS} benchmark::benchmark
+                                                benchmark::benchmark_main)
+  endif()
+endfunction()
+
+# tarragon_binary(<name> <folder> [DEPS <targets>...]): a program from <folder>/*.cc.
+function(tarragon_binary name folder)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${folder}/*.cc)
+  if(sources)
+    add_executable(${name} ${sources})
+    target_link_libraries(${name} PRIVATE ${ARG_DEPS} tarragon_options gflags)
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+  endif()
+endfunction()
--- /dev/null
+++ b/src/base/log.cc
@@ -0,0 +1,56 @@
+#include "tarragon/base/log.h"
+
+#include <fmt/chrono.h>
+
+#include <chrono>
+#include <cstdio>
+#include <iterator>
+
+namespace tarragon {
+
+namespace {
+
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+void AppendValue(fmt::memory_buffer& line, std::string_view value) {
+  if (!NeedsQuotes(value)) {
+    line.append(value);
+    return;
+  }
+  line.push_back('"');
+  for (const char c : value) {
+    if (c == '\n' || c == '\r') {
+      line.append(std::string_view("\\n"));
+      continue;
+    }
+    if (c == '"' || c == '\\') {
+      line.push_back('\\');
+    }
+    line.push_back(c);
+  }
+  line.push_back('"');
+}
+
+}  // namespace
+
+void LogEvent(std::string_view event, std::initializer_list<log_field> fields) {
+  fmt::memory_buffer line;
+  const auto now =
+      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+  const auto millis = now.time_since_epoch().count() % 1000;
+  fmt::format_to(std::back_inserter(line), "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z event={}",
+                 fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis, event);
+  for (const log_field& field : fields) {
+    line.push_back(' ');
+    line.append(field.key);
+    line.push_back('=');
+    AppendValue(line, field.value);
+  }
+  line.push_back('\n');
+  // One write per line keeps the lines of several threads apart.
+  std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+}  // namespace tarragon
--- /dev/null
+++ b/src/base/metrics.cc
@@ -0,0 +1,91 @@
+#include "tarragon/base/metrics.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+
+namespace tarragon {
+
+namespace {
+
+// Every tenth bin is exposed (two per decade), so that a scrape stays small.
+constexpr std::size_t kExposedBinStep = 10;
+
+std::string Braces(std::string_view labels) {
+  return labels.empty() ? std::string() : fmt::format("{{{}}}", labels);
+}
+
+template <typename Map, typename Series>
+auto& Find(std::mutex& mutex, Map& map, Series key) {
+  std::lock_guard lock(mutex);
+  auto& slot = map[std::move(key)];
+  if (!slot) {
+    slot = std::make_unique<typename Map::mapped_type::element_type>();
+  }
+  return *slot;
+}
+
+void AppendType(fmt::memory_buffer& out,
+                std::string& last,
+                const std::string& name,
+                std::string_view type) {
+  if (last != name) {
+    fmt::format_to(std::back_inserter(out), "# TYPE {} {}\n", name, type);
+    last = name;
+  }
+}
+
+void AppendLatency(fmt::memory_buffer& out,
+                   const std::string& name,
+                   const std::string& labels,
+                   const latency_histogram& latency) {
+  auto sink = std::back_inserter(out);
+  const auto bins = latency.Cumulative();
+  const std::string_view comma = labels.empty() ? "" : ",";
+  for (std::size_t i = kExposedBinStep - 1; i + 1 < bins.size(); i += kExposedBinStep) {
+    const double bound = std::chrono::duration<double>(bins[i].upper_bound).count();
+    fmt::format_to(sink, "{}_bucket{{{}{}le=\"{:.4g}\"}} {}\n", name, labels, comma, bound,
+                   bins[i].count);
+  }
+  fmt::format_to(sink, "{}_bucket{{{}{}le=\"+Inf\"}} {}\n", name, labels, comma, bins.back().count);
+  fmt::format_to(sink, "{}_sum{} {}\n", name, Braces(labels),
+                 std::chrono::duration<double>(latency.Sum()).count());
+  fmt::format_to(sink, "{}_count{} {}\n", name, Braces(labels), bins.back().count);
+}
+
+}  // namespace
+
+counter& metrics::Counter(std::string_view name, std::string_view labels) {
+  return Find(mutex_, counters_, series{std::string(name), std::string(labels)});
+}
+
+counter& metrics::Gauge(std::string_view name, std::string_view labels) {
+  return Find(mutex_, gauges_, series{std::string(name), std::string(labels)});
+}
+
+latency_histogram& metrics::Latency(std::string_view name, std::string_view labels) {
+  return Find(mutex_, latencies_, series{std::string(name), std::string(labels)});
+}
+
+std::string metrics::Expose() const {
+  std::lock_guard lock(mutex_);
+  fmt::memory_buffer out;
+  std::string last;
+  for (const auto& [key, value] : counters_) {
+    AppendType(out, last, key.name, "counter");
+    fmt::format_to(std::back_inserter(out), "{}{} {}\n", key.name, Braces(key.labels),
+                   value->Value());
+  }
+  for (const auto& [key, value] : gauges_) {
+    AppendType(out, last, key.name, "gauge");
+    fmt::format_to(std::back_inserter(out), "{}{} {}\n", key.name, Braces(key.labels),
+                   value->Value());
+  }
+  for (const auto& [key, value] : latencies_) {
+    AppendType(out, last, key.name, "histogram");
+    AppendLatency(out, key.name, key.labels, *value);
+  }
+  return fmt::to_string(out);
+}
+
+}  // namespace tarragon
--- /dev/null
+++ b/tools/install_packages.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Installs the build dependencies from Debian 12 packages; does nothing when all are present.
+set -euo pipefail
+packages=(g++ cmake ninja-build ccache clang-format clang-tidy curl python3
+  libasio-dev libcereal-dev libboost-dev libtomlplusplus-dev libgflags-dev libfmt-dev
+  libcpp-httplib-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev
+  libgtest-dev libgmock-dev libbenchmark-dev)
+missing=()
+for package in "${packages[@]}"; do
+  dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
+done
+[ ${#missing[@]} -eq 0 ] && exit 0
+run() { if [ "$(id -u)" -eq 0 ]; then "$@"; else sudo "$@"; fi; }
+run apt-get update -q
+run env DEBIAN_FRONTEND=noninteractive apt-get install -y -q --no-install-recommends "${missing[@]}"
