--- /dev/null
+++ b/include/tarragon/net/open_request.h
@@ -0,0 +1,38 @@
+#ifndef TARRAGON_NET_OPEN_REQUEST_H_
+#define TARRAGON_NET_OPEN_REQUEST_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "tarragon/decision/event.h"
+#include "tarragon/net/caller_mailbox.h"
+
+namespace tarragon::net {
+
+/** What an endpoint is sent for a request; the decision library never sees it. */
+struct upstream_call {
+  std::string method;
+  /** Path and query, as sent on the request line. */
+  std::string target;
+  std::string content_type;
+  /** For generations a JSON object without its closing brace, so that a priority can be added. */
+  std::string body;
+};
+
+/** A request of a connected caller. All but the mailbox is constant after construction. */
+struct open_request {
+  open_request(decision::request_facts request_facts, upstream_call upstream, std::size_t max_bytes)
+      : facts(std::move(request_facts)), call(std::move(upstream)), mailbox(max_bytes) {}
+
+  const decision::request_facts facts;
+  const upstream_call call;
+  caller_mailbox mailbox;
+};
+
+using open_request_ptr = std::shared_ptr<open_request>;
+
+}  // namespace tarragon::net
+
+#endif  // TARRAGON_NET_OPEN_REQUEST_H_
--- /dev/null
+++ b/include/tarragon/settings/entry_settings.h
@@ -0,0 +1,87 @@
+#ifndef TARRAGON_SETTINGS_ENTRY_SETTINGS_H_
+#define TARRAGON_SETTINGS_ENTRY_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tarragon::settings {
+
+/** A team that may use the admin interface. */
+struct team_settings {
+  /** SHA-256 of the team's bearer token in lower-case hex. */
+  std::string token_sha256;
+  /** Sections of the operating document that the team owns. */
+  std::vector<std::string> sections;
+};
+
+enum class selector_name : std::uint8_t { kRoundRobin, kLeastReportedLoad, kTwoChoice };
+
+/** Choice of policies, for experiments that compare them. */
+struct policy_settings {
+  selector_name selector = selector_name::kTwoChoice;
+  bool fair_queue = true;
+  bool memory_admission = true;
+  bool eject_outliers = true;
+  bool isolate_suspects = true;
+  bool hedge_reads = true;
+  bool limit_concurrency = true;
+  bool limit_accounts = true;
+};
+
+struct limit_settings {
+  std::int64_t max_connections = 1024;
+  std::int64_t max_attempts = 1024;
+  std::int64_t max_queued = 2000;
+  std::int64_t max_open = 6000;
+  std::int64_t max_tokens = 1'000'000;
+  std::chrono::milliseconds connect_timeout{1000};
+  std::chrono::milliseconds request_timeout{10000};
+  std::chrono::milliseconds write_timeout{5000};
+  std::chrono::milliseconds ticket_max_age{3'600'000};
+  std::chrono::milliseconds return_window{15000};
+};
+
+/** Settings of one entry process. */
+struct entry_settings {
+  std::string vm_name;
+  std::string failure_domain;
+  /** `ip:port` for callers and administrators. */
+  std::string callers_address;
+  /** `ip:port` for the other VMs, UDP and TCP; empty without peers. */
+  std::string peer_address;
+  /** `ip:port` of the platform; empty only if `document_directory` is set. */
+  std::string platform_address;
+  std::chrono::milliseconds platform_connect_timeout{500};
+  std::chrono::milliseconds platform_read_timeout{2000};
+  std::vector<std::string> seeds;
+  /** Fleet key that resumption tickets are signed with. */
+  std::string ticket_key;
+  std::map<std::string, team_settings, std::less<>> teams;
+  /** Directory with `<section>.toml` files to start from without a platform; may be empty. */
+  std::string document_directory;
+  policy_settings policy;
+  limit_settings limits;
+
+  /**
+   * Reads settings and checks all of them.
+   * @param file name used in messages.
+   * @param errors receives `file:line: key: what was expected` for each fault; may be null.
+   * @return empty if anything is wrong.
+   */
+  static std::optional<entry_settings> Make(std::string_view text,
+                                            const std::string& file,
+                                            std::vector<std::string>* errors);
+
+  /** As `Make`, for the contents of a file. */
+  static std::optional<entry_settings> Load(const std::string& file,
+                                            std::vector<std::string>* errors);
+};
+
+}  // namespace tarragon::settings
+
+#endif  // TARRAGON_SETTINGS_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,359 @@
+#include "http_server.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstring>
+#include <functional>
+#include <optional>
+#include <utility>
+
+#include "tarragon/base/invariant.h"
+#include "tarragon/net/http_error.h"
+
+namespace tarragon::net {
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+constexpr int kListenBacklog = 1024;
+constexpr std::size_t kReadBufferBytes = 4096;
+// A waiting connection looks this often whether the server stops.
+constexpr std::chrono::milliseconds kIdlePollInterval{50};
+// After an early refusal the rest of the request is read up to these bounds, because closing a
+// socket with unread data would reset the connection and could destroy the answer.
+constexpr std::chrono::milliseconds kLingerTimeout{500};
+constexpr std::size_t kLingerBytes = std::size_t{4} << 20;
+// Bodies come in chunks whose framing is not counted by the library; a client may send this much
+// more than the body limit before the connection is closed.
+constexpr std::size_t kMaxTargetBytes = 4096;
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpRequestTimeout = 408;
+constexpr int kHttpTooLarge = 413;
+constexpr int kHttpUriTooLong = 414;
+constexpr int kHttpHeadersTooLarge = 431;
+
+thread_local http_connection* current_connection = nullptr;
+
+bool WaitFor(int socket, short events, std::chrono::milliseconds timeout) {
+  pollfd waiting{.fd = socket, .events = events, .revents = 0};
+  return ::poll(&waiting, 1, static_cast<int>(std::max<std::int64_t>(timeout.count(), 0))) > 0;
+}
+
+class connection final : public httplib::Stream, public http_connection {
+ public:
+  connection(int socket, const http_server_options& options)
+      : socket_(socket), options_(options) {}
+
+  /** Starts the limits of the next request. */
+  void BeginRequest() {
+    deadline_ = steady::now() + options_.request_timeout;
+    in_headers_ = true;
+    header_bytes_ = 0;
+  }
+  void EndHeaders() { in_headers_ = false; }
+
+  bool timed_out() const { return timed_out_; }
+  bool headers_too_large() const { return headers_too_large_; }
+  bool in_headers() const { return in_headers_; }
+  bool closes() const { return closes_; }
+  bool HasBuffered() const { return begin_ < end_; }
+
+  // http_connection
+  void CloseAfterAnswer() override { closes_ = true; }
+  bool IsPeerGone() const override {
+    char byte = 0;
+    const ssize_t size = ::recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  }
+
+  // httplib::Stream
+  bool is_readable() const override { return HasBuffered() || WaitFor(socket_, POLLIN, {}); }
+  bool is_writable() const override {
+    return !IsPeerGone() && WaitFor(socket_, POLLOUT, options_.write_timeout);
+  }
+  ssize_t read(char* target, std::size_t size) override {
+    if (!HasBuffered() && !Fill()) {
+      return -1;
+    }
+    if (in_headers_ && ++header_bytes_ > options_.max_header_bytes) {
+      headers_too_large_ = true;
+      closes_ = true;
+      return -1;
+    }
+    // The library reads headers byte by byte, so that counting calls counts bytes.
+    const std::size_t count = std::min(size, end_ - begin_);
+    std::memcpy(target, buffer_.data() + begin_, count);
+    begin_ += count;
+    return static_cast<ssize_t>(count);
+  }
+  ssize_t write(const char* data, std::size_t size) override {
+    std::size_t sent = 0;
+    while (sent < size) {
+      const ssize_t count =
+          ::send(socket_, data + sent, size - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (count > 0) {
+        sent += static_cast<std::size_t>(count);
+      } else if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        if (!WaitFor(socket_, POLLOUT, options_.write_timeout)) {
+          closes_ = true;
+          return -1;
+        }
+      } else if (count < 0 && errno != EINTR) {
+        closes_ = true;
+        return -1;
+      }
+    }
+    return static_cast<ssize_t>(size);
+  }
+  void get_remote_ip_and_port(std::string& ip, int& port) const override {
+    Name(&::getpeername, ip, port);
+  }
+  void get_local_ip_and_port(std::string& ip, int& port) const override {
+    Name(&::getsockname, ip, port);
+  }
+  httplib::socket_t socket() const override { return socket_; }
+
+ private:
+  bool Fill() {
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline_ - steady::now());
+    if (left.count() <= 0 || !WaitFor(socket_, POLLIN, left)) {
+      timed_out_ = true;
+      closes_ = true;
+      return false;
+    }
+    const ssize_t count = ::recv(socket_, buffer_.data(), buffer_.size(), 0);
+    if (count <= 0) {
+      closes_ = true;
+      return false;
+    }
+    begin_ = 0;
+    end_ = static_cast<std::size_t>(count);
+    return true;
+  }
+
+  template <typename F>
+  void Name(F get, std::string& ip, int& port) const {
+    sockaddr_storage storage{};
+    socklen_t size = sizeof(storage);
+    std::array<char, INET6_ADDRSTRLEN> text{};
+    if (get(socket_, reinterpret_cast<sockaddr*>(&storage), &size) != 0) {
+      return;
+    }
+    if (storage.ss_family == AF_INET) {
+      const auto* v4 = reinterpret_cast<const sockaddr_in*>(&storage);
+      inet_ntop(AF_INET, &v4->sin_addr, text.data(), text.size());
+      port = ntohs(v4->sin_port);
+    } else if (storage.ss_family == AF_INET6) {
+      const auto* v6 = reinterpret_cast<const sockaddr_in6*>(&storage);
+      inet_ntop(AF_INET6, &v6->sin6_addr, text.data(), text.size());
+      port = ntohs(v6->sin6_port);
+    }
+    ip = text.data();
+  }
+
+  const int socket_;
+  const http_server_options& options_;
+  steady::time_point deadline_;
+  std::array<char, kReadBufferBytes> buffer_{};
+  std::size_t begin_ = 0;
+  std::size_t end_ = 0;
+  std::size_t header_bytes_ = 0;
+  bool in_headers_ = false;
+  bool headers_too_large_ = false;
+  bool timed_out_ = false;
+  bool closes_ = false;
+};
+
+/** Lets the client read the answer before the socket is closed. */
+void CloseGently(int socket) {
+  ::shutdown(socket, SHUT_WR);
+  std::array<char, kReadBufferBytes> dropped{};
+  const auto deadline = steady::now() + kLingerTimeout;
+  std::size_t total = 0;
+  while (total < kLingerBytes) {
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - steady::now());
+    if (left.count() <= 0 || !WaitFor(socket, POLLIN, left)) {
+      break;
+    }
+    const ssize_t count = ::recv(socket, dropped.data(), dropped.size(), 0);
+    if (count <= 0) {
+      break;
+    }
+    total += static_cast<std::size_t>(count);
+  }
+  ::close(socket);
+}
+
+class task_queue final : public httplib::TaskQueue {
+ public:
+  explicit task_queue(thread_pool& threads) : threads_(threads) {}
+  void enqueue(std::function<void()> task) override { threads_.Run(std::move(task)); }
+  void shutdown() override { threads_.Stop(); }
+
+ private:
+  thread_pool& threads_;
+};
+
+void SetError(httplib::Response& response, int status, std::string code, std::string message) {
+  const http_error error{.status = status, .code = std::move(code), .message = std::move(message)};
+  response.status = status;
+  response.set_header("Run-Verdict", std::string(ToString(error.verdict)));
+  response.set_header("Connection", "close");
+  response.set_content(error.Body(), "application/json");
+  http_connection::Current().CloseAfterAnswer();
+}
+
+/** Gives the answers that the library makes itself the form of all others. */
+void FillLibraryError(httplib::Response& response) {
+  const auto& here = static_cast<connection&>(http_connection::Current());
+  if (here.timed_out()) {
+    SetError(response, kHttpRequestTimeout, "request_timeout", "the request did not arrive in time");
+  } else if (here.headers_too_large()) {
+    SetError(response, kHttpHeadersTooLarge, "headers_too_large", "the headers are too large");
+  } else if (response.status == kHttpTooLarge) {
+    SetError(response, kHttpTooLarge, "body_too_large", "the body is too large");
+  } else if (response.status == kHttpNotFound) {
+    SetError(response, kHttpNotFound, "not_found", "no such path");
+  } else {
+    SetError(response, response.status, "bad_request", "the request could not be read");
+  }
+}
+
+}  // namespace
+
+http_connection& http_connection::Current() {
+  TARRAGON_INVARIANT(current_connection != nullptr, "called outside of a handler");
+  return *current_connection;
+}
+
+http_server::http_server(http_server_options options, handler handle)
+    : options_(options), threads_(options.max_connections) {
+  new_task_queue = [this] { return new task_queue(threads_); };
+  set_payload_max_length(options_.max_body_bytes);
+  set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
+  set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
+    return CheckBeforeBody(request, response);
+  });
+  set_error_handler([](const httplib::Request&, httplib::Response& response) {
+    if (!response.body.empty() || response.has_header("Run-Verdict")) {
+      return HandlerResponse::Unhandled;
+    }
+    FillLibraryError(response);
+    return HandlerResponse::Handled;
+  });
+  // Dispatch by path is left to the handler: the library's regular expressions recurse for each
+  // byte of a path.
+  const std::string any = "/.*";
+  Get(any, handle).Post(any, handle).Put(any, handle);
+  Patch(any, handle).Delete(any, handle).Options(any, handle);
+}
+
+http_server::~http_server() {
+  Stop();
+}
+
+bool http_server::Bind(const socket_address& address) {
+  port_ = address.port == 0 ? bind_to_any_port(address.ip)
+                            : (bind_to_port(address.ip, address.port) ? address.port : -1);
+  // The library listens with a queue of 5, which drops connections of a burst of callers.
+  return port_ > 0 && ::listen(svr_sock_, kListenBacklog) == 0;
+}
+
+void http_server::Start() {
+  acceptor_ = std::thread([this] { listen_after_bind(); });
+  while (!is_running()) {
+    std::this_thread::yield();
+  }
+}
+
+void http_server::Stop() {
+  if (acceptor_.joinable()) {
+    stop();
+    threads_.Stop();
+    acceptor_.join();
+  }
+}
+
+httplib::Server::HandlerResponse http_server::CheckBeforeBody(const httplib::Request& request,
+                                                              httplib::Response& response) {
+  const auto reject = [&](int status, std::string code, std::string message) {
+    SetError(response, status, std::move(code), std::move(message));
+    return HandlerResponse::Handled;
+  };
+  if (request.headers.size() > options_.max_headers) {
+    return reject(kHttpHeadersTooLarge, "too_many_headers",
+                  fmt::format("expected at most {} headers", options_.max_headers));
+  }
+  if (request.target.size() > kMaxTargetBytes) {
+    return reject(kHttpUriTooLong, "uri_too_long",
+                  fmt::format("expected a target of at most {} bytes", kMaxTargetBytes));
+  }
+  const std::size_t lengths = request.get_header_value_count("Content-Length");
+  const std::size_t encodings = request.get_header_value_count("Transfer-Encoding");
+  // A request whose end two parsers could see at different places is refused.
+  if (lengths + encodings != 1 ||
+      (encodings == 1 && request.get_header_value("Transfer-Encoding") != "chunked")) {
+    return reject(kHttpBadRequest, "bad_framing", "expected one Content-Length or chunked encoding");
+  }
+  if (lengths == 1) {
+    const std::string text = request.get_header_value("Content-Length");
+    std::uint64_t length = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), length);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+      return reject(kHttpBadRequest, "bad_framing", "Content-Length: expected a number");
+    }
+    if (length > options_.max_body_bytes) {
+      return reject(kHttpTooLarge, "body_too_large",
+                    fmt::format("expected a body of at most {} bytes", options_.max_body_bytes));
+    }
+  }
+  return HandlerResponse::Unhandled;
+}
+
+bool http_server::process_and_close_socket(httplib::socket_t socket) {
+  const int on = 1;
+  ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  connection here(socket, options_);
+  current_connection = &here;
+  bool open = true;
+  while (open) {
+    const auto idle_until = steady::now() + options_.idle_timeout;
+    bool readable = here.HasBuffered();
+    while (!readable && svr_sock_ != INVALID_SOCKET && steady::now() < idle_until) {
+      readable = WaitFor(socket, POLLIN, kIdlePollInterval);
+    }
+    if (!readable || svr_sock_ == INVALID_SOCKET) {
+      break;
+    }
+    here.BeginRequest();
+    bool closed_by_request = false;
+    const bool answered =
+        process_request(here, /*close_connection=*/false, closed_by_request,
+                        [&here](httplib::Request& request) {
+                          here.EndHeaders();
+                          // Without either header a request has no body; the library would read
+                          // until the connection ends.
+                          if (!request.has_header("Content-Length") &&
+                              !request.has_header("Transfer-Encoding")) {
+                            request.headers.emplace("Content-Length", "0");
+                          }
+                        });
+    open = answered && !closed_by_request && !here.closes() && !here.in_headers();
+  }
+  current_connection = nullptr;
+  CloseGently(socket);
+  return true;
+}
+
+}  // namespace tarragon::net
