Add the request engine's plain path, resumption and claims

Cause: the entry process needs an engine to link against. Change: request_engine with private handlers for callers, streams and calls, tables for attempts, endpoints and claims, and a checker that follows the actions as a caller sees them and aborts on a broken promise. Additions to the interface: action close_attempt (drops a connection without stopping its generation, which cancel_attempt cannot express), peer_state.adopted (lets an entry whose caller returned elsewhere refrain from the cancel), kCancelledFinishReason. start_stream may be repeated before the first token.

--- a/cmake/TarragonTargets.cmake
+++ b/cmake/TarragonTargets.cmake
@@ -10,6 +10,8 @@
   if(sources)
     add_library(${target} STATIC ${sources})
     set(scope PUBLIC)
+    # Private headers are included as "<lib>/<file>.h".
+    target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR}/src)
   else()
     add_library(${target} INTERFACE)
     set(scope INTERFACE)
--- a/include/tarragon/decision/action.h
+++ b/include/tarragon/decision/action.h
@@ -38,7 +38,18 @@
   generation_id generation;
 };
 
-/** Tells the caller's connection which generation answers it, before the first token. */
+/**
+ * Closes the connection of an attempt without stopping its generation. The attempt's later events
+ * are ignored.
+ */
+struct close_attempt {
+  attempt_id attempt;
+};
+
+/**
+ * Tells the caller's connection which generation answers it, before the first token. Repeated with
+ * another generation if the first one is lost before any token was delivered; the last one counts.
+ */
 struct start_stream {
   request_id request;
   endpoint_name endpoint;
@@ -124,6 +135,7 @@
 using action = std::variant<send_attempt,
                             resume_attempt,
                             cancel_attempt,
+                            close_attempt,
                             start_stream,
                             deliver_token,
                             restart_stream,
--- a/include/tarragon/decision/event.h
+++ b/include/tarragon/decision/event.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -50,7 +51,10 @@
   request_id request;
 };
 
-/** A caller is back, at this or another entry, with a verified ticket. */
+/**
+ * A caller is back, at this or another entry, with a verified ticket. `facts.request` is the id of
+ * the new connection's request.
+ */
 struct resume_arrived {
   request_facts facts;
   endpoint_name endpoint;
@@ -88,9 +92,13 @@
   std::string body;
 };
 
+/** Finish reason of a generation that ended because of a cancel. */
+inline constexpr std::string_view kCancelledFinishReason = "cancelled";
+
 /** The endpoint reported the end of the generation. */
 struct attempt_finished {
   attempt_id attempt;
+  /** Tokens of the whole generation: the last index plus one. */
   std::uint32_t token_count = 0;
   std::string finish_reason;
 };
@@ -194,6 +202,8 @@
   std::vector<endpoint_count> endpoints;
   std::vector<account_usage> accounts;
   std::vector<suspect_report> suspects;
+  /** XXH3 hashes of generations that a returning caller attached to at this VM. */
+  std::vector<std::uint64_t> adopted;
 };
 
 struct peer_state_received {
--- /dev/null
+++ b/src/decision/attempt_table.h
@@ -0,0 +1,86 @@
+#ifndef TARRAGON_DECISION_ATTEMPT_TABLE_H_
+#define TARRAGON_DECISION_ATTEMPT_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "tarragon/base/clock.h"
+#include "tarragon/base/ids.h"
+#include "tarragon/base/run_verdict.h"
+
+namespace tarragon::decision {
+
+enum class attempt_phase : std::uint8_t {
+  /** Waits for its time to reconnect; the generation counts as running. */
+  kBackoff,
+  kSent,
+  kAccepted,
+  kCancelling,
+  /** Its request has finished; only the slot and the claim still depend on its outcome. */
+  kOrphan,
+};
+
+/** One connection to an endpoint for one request. Its slot counts as used while it is listed. */
+struct attempt_record {
+  attempt_id id;
+  request_id request;
+  endpoint_name endpoint;
+  generation_id generation;
+  attempt_phase phase = attempt_phase::kSent;
+  bool is_resume = false;
+  /** The endpoint took the generation on this or an earlier connection. */
+  bool taken = false;
+  bool suspect = false;
+  bool has_tokens = false;
+  time_point sent_at;
+  time_point next_step;
+  time_point last_token;
+  fingerprint content;
+  /** Set for unrepeatable calls, so that a late result is still recorded. */
+  std::string claim_account;
+  std::string claim_key;
+  std::string claim_token;
+
+  run_verdict verdict() const { return has_tokens ? run_verdict::kRan : run_verdict::kMayHaveRun; }
+};
+
+/** All attempts of which the outcome is not known. */
+class attempt_table final {
+ public:
+  attempt_record& Add(attempt_record record);
+  /** @return the attempt, or null if it has ended or never was. */
+  attempt_record* Find(attempt_id id);
+  const attempt_record* Find(attempt_id id) const;
+  void Remove(attempt_id id);
+
+  /** @return a fresh id; never used twice. */
+  attempt_id NextId() { return {++last_id_}; }
+
+  /** @return ids in rising order, for iteration that does not depend on hashing. */
+  std::vector<attempt_id> SortedIds() const;
+
+  std::uint32_t InFlight(const endpoint_name& endpoint) const;
+  std::uint32_t Suspects(const endpoint_name& endpoint) const;
+  std::size_t size() const { return records_.size(); }
+
+  /** Checks the counts per endpoint against the attempts. */
+  void Validate() const;
+
+ private:
+  struct endpoint_counts {
+    std::uint32_t in_flight = 0;
+    std::uint32_t suspects = 0;
+    bool operator==(const endpoint_counts&) const = default;
+  };
+
+  std::unordered_map<attempt_id, attempt_record> records_;
+  std::unordered_map<endpoint_name, endpoint_counts> counts_;
+  std::uint64_t last_id_ = 0;
+};
+
+}  // namespace tarragon::decision
+
+#endif  // TARRAGON_DECISION_ATTEMPT_TABLE_H_
--- /dev/null
+++ b/src/decision/call_handler.h
@@ -0,0 +1,31 @@
+#ifndef TARRAGON_DECISION_CALL_HANDLER_H_
+#define TARRAGON_DECISION_CALL_HANDLER_H_
+
+#include "decision/dispatcher.h"
+#include "decision/engine_core.h"
+
+namespace tarragon::decision {
+
+/** Handles attempts at calls to plain services: responses, claims, hedges and retries. */
+class call_handler final {
+ public:
+  call_handler(engine_core& core, dispatcher& queue) : core_(core), queue_(queue) {}
+
+  void OnAccepted(request_record& record, attempt_record& attempt);
+  void OnResponse(request_record& record, attempt_record& attempt, const response_received& event);
+  void OnFailed(request_record& record, attempt_record& attempt, const attempt_failed& event);
+
+  /** Records the result of an unrepeatable call whose request has finished. */
+  void OnLateResponse(const attempt_record& attempt, const response_received& event);
+
+  /** Ends calls at their deadline and hedges slow reads. */
+  void Tick(request_record& record);
+
+ private:
+  engine_core& core_;
+  dispatcher& queue_;
+};
+
+}  // namespace tarragon::decision
+
+#endif  // TARRAGON_DECISION_CALL_HANDLER_H_
--- /dev/null
+++ b/src/decision/caller_handler.cc
@@ -0,0 +1,229 @@
+#include "decision/caller_handler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tarragon/base/hash.h"
+
+namespace tarragon::decision {
+
+namespace {
+
+// Claim answers that are this late are taken as lost.
+constexpr std::chrono::minutes kClaimAnswerTimeout{10};
+
+}  // namespace
+
+void caller_handler::On(const request_arrived& event) {
+  if (core_.Find(event.facts.request) != nullptr) {
+    core_.Count("tarragon_events_ignored_total");
+    return;
+  }
+  request_record& record = core_.Open(event.facts);
+  if (!ApplyRule(record)) {
+    return;
+  }
+  if (core_.draining) {
+    core_.Finish(record, {.reason = finish_reason::kDraining,
+                          .status = 503,
+                          .message = "the entry is shutting down",
+                          .retry_after = std::chrono::seconds(1)});
+    return;
+  }
+  if (core_.requests.size() > core_.options.max_open || queue_.size() >= core_.options.max_queued ||
+      (record.held() && core_.held_bytes >= core_.options.max_held_bytes)) {
+    core_.Finish(record, {.reason = finish_reason::kQueueFull,
+                          .status = 503,
+                          .message = "too many requests are waiting",
+                          .retry_after = std::chrono::seconds(1)});
+    return;
+  }
+  if (record.facts.repeatable) {
+    queue_.Enqueue(record);
+  } else {
+    AskForClaim(record);
+  }
+}
+
+bool caller_handler::ApplyRule(request_record& record) {
+  const auto* service =
+      core_.document ? core_.document->FindService(record.facts.service) : nullptr;
+  if (service == nullptr) {
+    core_.Finish(record,
+                 {.reason = finish_reason::kInvalid, .status = 404, .message = "no such service"});
+    return false;
+  }
+  const auto* rule = core_.document->FindClass(record.facts.request_class);
+  if (rule == nullptr) {
+    rule = core_.document->FindClass(service->default_class);
+  }
+  if (rule != nullptr) {
+    record.rule = *rule;
+  }
+  if (!record.facts.repeatable && record.facts.idempotency_key.empty()) {
+    core_.Finish(record, {.reason = finish_reason::kInvalid,
+                          .status = 400,
+                          .message = "the call needs an Idempotency-Key"});
+    return false;
+  }
+  return true;
+}
+
+void caller_handler::AskForClaim(request_record& record) {
+  record.phase = request_phase::kClaiming;
+  record.claim_token = core_.RandomHex();
+  core_.claims.Add(record.facts.request, {record.facts.account, record.facts.idempotency_key,
+                                          record.claim_token, core_.now});
+  core_.Emit(write_claim{record.facts.request, record.facts.account, record.facts.idempotency_key,
+                         record.claim_token, record.facts.content});
+}
+
+void caller_handler::On(const claim_answered& event) {
+  const auto claim = core_.claims.Take(event.request);
+  if (!claim) {
+    core_.Count("tarragon_events_ignored_total");
+    return;
+  }
+  request_record* record = core_.Find(event.request);
+  if (record == nullptr) {
+    if (event.state == claim_state::kWon || event.state == claim_state::kUnknown) {
+      core_.Emit(release_claim{claim->account, claim->key, claim->claim_token});
+    }
+    return;
+  }
+  switch (event.state) {
+    case claim_state::kWon:
+      queue_.Enqueue(*record);
+      break;
+    case claim_state::kHeldByOther:
+      record->claim_token.clear();
+      core_.Finish(*record, {.reason = finish_reason::kClaimHeld,
+                             .status = 409,
+                             .message = "a call under this key has not completed"});
+      break;
+    case claim_state::kCompleted:
+      ReplayRecorded(*record, event);
+      break;
+    case claim_state::kUnavailable:
+      record->claim_token.clear();
+      [[fallthrough]];
+    case claim_state::kUnknown:
+      core_.Finish(*record, {.reason = finish_reason::kClaimUnavailable,
+                             .status = 503,
+                             .message = "the claim table is unavailable",
+                             .retry_after = std::chrono::seconds(1)});
+      break;
+  }
+}
+
+void caller_handler::ReplayRecorded(request_record& record, const claim_answered& event) {
+  record.claim_token.clear();
+  record.past_verdict = run_verdict::kRan;
+  core_.Emit(deliver_response{record.facts.request, event.recorded_status, "application/json",
+                              event.recorded_body});
+  core_.Finish(record, {.status = event.recorded_status});
+}
+
+void caller_handler::On(const caller_gone& event) {
+  request_record* record = core_.Find(event.request);
+  if (record == nullptr || record->phase == request_phase::kDetached) {
+    core_.Count("tarragon_events_ignored_total");
+    return;
+  }
+  const bool active = record->phase == request_phase::kActive;
+  if (record->is_generation() && active) {
+    record->phase = request_phase::kDetached;
+    record->gone_at = core_.now;
+    return;
+  }
+  if (active && !record->facts.repeatable) {
+    return;
+  }
+  core_.Finish(
+      *record,
+      {.reason = finish_reason::kCancelled, .status = 499, .message = "the caller is gone"});
+}
+
+void caller_handler::On(const resume_arrived& event) {
+  if (core_.Find(event.facts.request) != nullptr) {
+    core_.Count("tarragon_events_ignored_total");
+    return;
+  }
+  TakeOver(event);
+  request_record& record = core_.OpenResumed(event);
+  if (!ApplyRule(record)) {
+    return;
+  }
+  record.past_verdict = run_verdict::kMayHaveRun;
+  record.accepted_once = true;
+  if (core_.requests.size() > core_.options.max_open) {
+    core_.Finish(record, {.reason = finish_reason::kQueueFull,
+                          .status = 503,
+                          .message = "too many requests are open",
+                          .retry_after = std::chrono::seconds(1)});
+    return;
+  }
+  adopted_[event.generation] = core_.now;
+  core_.Follow(record, event.generation, event.next_index);
+  streams_.Attach(record, event.endpoint);
+}
+
+void caller_handler::TakeOver(const resume_arrived& event) {
+  const auto reader = core_.readers.find(event.generation);
+  if (reader == core_.readers.end()) {
+    return;
+  }
+  request_record* earlier = core_.Find(reader->second);
+  if (earlier != nullptr) {
+    core_.Finish(*earlier, {.reason = finish_reason::kCancelled,
+                            .status = 499,
+                            .message = "the caller is back on another connection",
+                            .attempts = leftover::kClose});
+  }
+}
+
+void caller_handler::Tick(request_record& record) {
+  if (record.phase == request_phase::kDetached &&
+      core_.now - record.gone_at >= core_.options.return_window) {
+    core_.Finish(record, {.reason = finish_reason::kCancelled,
+                          .status = 499,
+                          .message = "the caller did not come back"});
+  } else if (record.phase == request_phase::kClaiming && core_.now >= record.deadline) {
+    core_.Finish(record, {.reason = finish_reason::kClaimUnavailable,
+                          .status = 503,
+                          .message = "the claim table did not answer before the deadline",
+                          .retry_after = std::chrono::seconds(1)});
+  }
+}
+
+void caller_handler::Tick() {
+  core_.claims.Forget(core_.now - kClaimAnswerTimeout);
+  std::erase_if(adopted_, [this](const auto& item) {
+    return core_.now - item.second >= core_.options.adoption_announcement;
+  });
+}
+
+void caller_handler::OnAdopted(const std::vector<std::uint64_t>& generations) {
+  for (auto& [id, record] : core_.requests) {
+    if (record.phase == request_phase::kDetached &&
+        std::ranges::find(generations, Hash64(record.cursor.generation())) != generations.end()) {
+      core_.Finish(record, {.reason = finish_reason::kCancelled,
+                            .status = 499,
+                            .message = "the caller is back at another entry",
+                            .attempts = leftover::kClose});
+    }
+  }
+}
+
+std::vector<std::uint64_t> caller_handler::Adopted(time_point now) const {
+  std::vector<std::uint64_t> hashes;
+  for (const auto& [generation, since] : adopted_) {
+    if (now - since < core_.options.adoption_announcement) {
+      hashes.push_back(Hash64(generation));
+    }
+  }
+  std::ranges::sort(hashes);
+  return hashes;
+}
+
+}  // namespace tarragon::decision
--- /dev/null
+++ b/src/decision/engine_core.cc
@@ -0,0 +1,211 @@
+#include "decision/engine_core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "tarragon/base/invariant.h"
+
+namespace tarragon::decision {
+
+engine_core::engine_core(engine_options chosen, std::uint64_t seed, metrics& registry)
+    : options(chosen), counters(registry), random(seed) {}
+
+void engine_core::Begin(time_point time, std::vector<action>& actions) {
+  TARRAGON_INVARIANT(time >= now, "time went backwards");
+  now = time;
+  actions_ = &actions;
+}
+
+void engine_core::End() {
+  for (const request_id id : finished_) {
+    requests.erase(id);
+  }
+  finished_.clear();
+  actions_ = nullptr;
+}
+
+void engine_core::Emit(action what) {
+  if (const auto* send = std::get_if<send_attempt>(&what)) {
+    CheckSend(*send);
+  }
+  checker_.Check(what);
+  actions_->push_back(std::move(what));
+}
+
+request_record& engine_core::Open(const request_facts& facts) {
+  const auto [place, added] = requests.try_emplace(facts.request);
+  TARRAGON_INVARIANT(added, "request listed twice");
+  request_record& record = place->second;
+  record.facts = facts;
+  record.arrived = now;
+  record.last_progress = now;
+  record.deadline = facts.deadline;
+  checker_.Open(facts.request);
+  return record;
+}
+
+request_record& engine_core::OpenResumed(const resume_arrived& event) {
+  request_record& record = Open(event.facts);
+  checker_.SetResumed(event.facts.request, event.generation, event.next_index);
+  return record;
+}
+
+request_record* engine_core::Find(request_id id) {
+  const auto place = requests.find(id);
+  return place == requests.end() || place->second.phase == request_phase::kFinished
+             ? nullptr
+             : &place->second;
+}
+
+void engine_core::Finish(request_record& record, ending how) {
+  TARRAGON_INVARIANT(record.phase != request_phase::kFinished, "request finished twice");
+  const request_id id = record.facts.request;
+  run_verdict verdict = VerdictOf(record);
+  if (how.reason == finish_reason::kClaimHeld) {
+    // The request under the same key may have run, and the caller asks about that call.
+    verdict = run_verdict::kMayHaveRun;
+  }
+  for (const attempt_id attempt : std::exchange(record.attempts, {})) {
+    Settle(attempt, how.attempts);
+  }
+  if (!record.claim_token.empty() && !claims.Contains(id) && verdict == run_verdict::kNotRun) {
+    Emit(release_claim{record.facts.account, record.facts.idempotency_key, record.claim_token});
+  }
+  held_bytes -= record.cursor.held_bytes();
+  const auto reader = readers.find(record.cursor.generation());
+  if (reader != readers.end() && reader->second == id) {
+    readers.erase(reader);
+  }
+  counters
+      .Counter("tarragon_requests_finished_total",
+               fmt::format("verdict=\"{}\",status=\"{}\"", ToString(verdict), how.status))
+      .Add();
+  Emit(finish_request{id, verdict, how.reason, how.status, std::move(how.engine_reason),
+                      std::move(how.message), how.retry_after});
+  record.phase = request_phase::kFinished;
+  finished_.push_back(id);
+}
+
+attempt_record& engine_core::AddAttempt(request_record& record, attempt_record attempt) {
+  attempt.id = attempts.NextId();
+  attempt.request = record.facts.request;
+  attempt.content = record.facts.content;
+  attempt.last_token = now;
+  attempt.sent_at = now;
+  if (!record.facts.repeatable) {
+    attempt.claim_account = record.facts.account;
+    attempt.claim_key = record.facts.idempotency_key;
+    attempt.claim_token = record.claim_token;
+  }
+  record.attempts.push_back(attempt.id);
+  return attempts.Add(std::move(attempt));
+}
+
+void engine_core::EndAttempt(request_record& record, attempt_id attempt, run_verdict verdict) {
+  record.past_verdict = Combine(record.past_verdict, verdict);
+  std::erase(record.attempts, attempt);
+  attempts.Remove(attempt);
+}
+
+void engine_core::Cancel(attempt_record& attempt) {
+  Emit(cancel_attempt{attempt.id, attempt.endpoint, attempt.generation});
+  attempt.phase = attempt_phase::kCancelling;
+  attempt.next_step = now + options.cancel_timeout;
+}
+
+void engine_core::Follow(request_record& record,
+                         generation_id generation,
+                         std::uint32_t next_index) {
+  const auto reader = readers.find(record.cursor.generation());
+  if (reader != readers.end() && reader->second == record.facts.request) {
+    readers.erase(reader);
+  }
+  readers[generation] = record.facts.request;
+  held_bytes -= record.cursor.held_bytes();
+  record.cursor.Attach(std::move(generation), next_index);
+}
+
+std::string engine_core::RandomHex() {
+  const std::uint64_t high = random();
+  return fmt::format("{:016x}{:016x}", high, random());
+}
+
+run_verdict engine_core::VerdictOf(const request_record& record) const {
+  run_verdict verdict = record.past_verdict;
+  for (const attempt_id id : record.attempts) {
+    verdict = Combine(verdict, attempts.Find(id)->verdict());
+  }
+  return verdict;
+}
+
+void engine_core::Settle(attempt_id id, leftover how) {
+  attempt_record& attempt = *attempts.Find(id);
+  switch (how) {
+    case leftover::kCancel:
+      Cancel(attempt);
+      break;
+    case leftover::kClose:
+      Emit(close_attempt{id});
+      attempts.Remove(id);
+      break;
+    case leftover::kOrphan:
+      attempt.phase = attempt_phase::kOrphan;
+      attempt.next_step = now + options.recovery_timeout;
+      break;
+  }
+}
+
+void engine_core::CheckSend(const send_attempt& send) const {
+  const endpoint_state* endpoint = endpoints.Find(send.endpoint);
+  TARRAGON_INVARIANT(endpoint != nullptr && !endpoint->leaving(),
+                     "new work for a leaving endpoint");
+  const request_record& record = requests.at(send.request);
+  if (!record.facts.repeatable) {
+    TARRAGON_INVARIANT(record.past_verdict == run_verdict::kNotRun && record.attempts.size() == 1,
+                       "second attempt at an unrepeatable call that may have run");
+    TARRAGON_INVARIANT(!record.claim_token.empty() && !claims.Contains(send.request),
+                       "unrepeatable call sent without its claim");
+  }
+  if (record.is_generation()) {
+    TARRAGON_INVARIANT(record.attempts.size() == 1, "two attempts at one generation");
+  }
+  if (options.isolate_suspects) {
+    TARRAGON_INVARIANT(attempts.Suspects(send.endpoint) <= 1, "two suspects at one endpoint");
+  }
+}
+
+void engine_core::Validate() const {
+  attempts.Validate();
+  std::size_t held = 0;
+  std::size_t open = 0;
+  std::size_t listed = 0;
+  for (const auto& [id, record] : requests) {
+    TARRAGON_INVARIANT(id == record.facts.request, "request listed under another id");
+    TARRAGON_INVARIANT(record.phase != request_phase::kFinished, "finished request is listed");
+    TARRAGON_INVARIANT(checker_.IsOpen(id), "open request without an answer");
+    const bool waits =
+        record.phase == request_phase::kQueued || record.phase == request_phase::kClaiming;
+    TARRAGON_INVARIANT(waits == record.attempts.empty(), "phase and attempts disagree");
+    TARRAGON_INVARIANT((record.phase == request_phase::kClaiming) == claims.Contains(id) ||
+                           record.phase != request_phase::kClaiming,
+                       "request waits for a claim that nobody asked for");
+    for (const attempt_id attempt : record.attempts) {
+      const attempt_record* found = attempts.Find(attempt);
+      TARRAGON_INVARIANT(found != nullptr && found->request == id, "attempt of another request");
+      TARRAGON_INVARIANT(found->phase != attempt_phase::kOrphan, "orphan of an open request");
+      ++listed;
+    }
+    record.cursor.Validate();
+    held += record.cursor.held_bytes();
+    ++open;
+  }
+  TARRAGON_INVARIANT(open == checker_.size(), "answer without a request");
+  TARRAGON_INVARIANT(held == held_bytes, "held bytes differ from the sum over requests");
+  TARRAGON_INVARIANT(open <= options.max_open + 1, "more requests open than allowed");
+  TARRAGON_INVARIANT(listed <= attempts.size(), "requests list attempts that do not exist");
+}
+
+}  // namespace tarragon::decision
--- /dev/null
+++ b/src/decision/request_record.h
@@ -0,0 +1,58 @@
+#ifndef TARRAGON_DECISION_REQUEST_RECORD_H_
+#define TARRAGON_DECISION_REQUEST_RECORD_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "decision/stream_cursor.h"
+#include "tarragon/base/clock.h"
+#include "tarragon/base/ids.h"
+#include "tarragon/base/run_verdict.h"
+#include "tarragon/decision/event.h"
+#include "tarragon/document/operating_document.h"
+
+namespace tarragon::decision {
+
+enum class request_phase : std::uint8_t {
+  /** The claim of an unrepeatable call is being written. */
+  kClaiming,
+  kQueued,
+  /** At least one attempt is open. */
+  kActive,
+  /** The caller is gone and may come back to any entry. */
+  kDetached,
+  kFinished,
+};
+
+/** Everything known of a request that has not finished. */
+struct request_record {
+  request_facts facts;
+  document::request_class rule;
+  request_phase phase = request_phase::kQueued;
+  time_point arrived;
+  /** Latest time to start; moved when a generation that was accepted has to be repeated. */
+  time_point deadline;
+  time_point last_progress;
+  time_point gone_at;
+  /** Of the attempts that have ended. */
+  run_verdict past_verdict = run_verdict::kNotRun;
+  bool accepted_once = false;
+  bool announced = false;
+  /** The caller holds tokens of a lost generation and has to be told to discard them. */
+  bool restart_pending = false;
+  bool hedged = false;
+  stream_cursor cursor;
+  std::vector<attempt_id> attempts;
+  /** Endpoints that declined or failed this request since it was queued. */
+  std::vector<endpoint_name> avoid;
+  std::uint32_t sends = 0;
+  std::string claim_token;
+
+  bool is_generation() const { return facts.kind == request_kind::kGeneration; }
+  bool held() const { return facts.whole_answer || rule.on_loss == document::loss_policy::kHold; }
+};
+
+}  // namespace tarragon::decision
+
+#endif  // TARRAGON_DECISION_REQUEST_RECORD_H_
