--- a/include/tarragon/document/operating_document.h
+++ b/include/tarragon/document/operating_document.h
@@ -63,6 +63,11 @@
   std::string default_class;
   /** Path prefixes whose POST, PUT, PATCH and DELETE calls may run at most once. */
   std::vector<std::string> unrepeatable_paths;
+  /**
+   * False while the service is being added or removed: it may then be without a serving endpoint.
+   * Sections are edited one at a time, so neither step would be possible otherwise.
+   */
+  bool must_serve = true;
 };
 
 enum class serving_state : std::uint8_t { kServing, kLeaving };
