--- a/src/net/caller_api.cc
+++ b/src/net/caller_api.cc
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "http_library.h"
-#include "http_server.h"
+#include "net/http_library.h"
+#include "net/http_server.h"
 #include "tarragon/base/metrics.h"
 #include "tarragon/net/answer_writer.h"
 #include "tarragon/net/core_thread.h"
--- /dev/null
+++ b/src/net/entry_process.cc
@@ -0,0 +1,232 @@
+#include "tarragon/net/entry_process.h"
+
+#include <atomic>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "net/http_server.h"
+#include "tarragon/base/hash.h"
+#include "tarragon/base/log.h"
+#include "tarragon/base/metrics.h"
+#include "tarragon/net/caller_api.h"
+#include "tarragon/net/core_thread.h"
+#include "tarragon/net/document_holder.h"
+#include "tarragon/net/load_poller.h"
+#include "tarragon/net/socket_address.h"
+
+namespace tarragon::net {
+
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpUnauthorized = 401;
+constexpr int kHttpUnavailable = 503;
+constexpr std::chrono::milliseconds kDrainPollInterval{10};
+
+decision::engine_options EngineOptions(const settings::entry_settings& settings) {
+  const settings::policy_settings& policy = settings.policy;
+  decision::engine_options options;
+  switch (policy.selector) {
+    case settings::selector_name::kRoundRobin:
+      options.selector = decision::selector_choice::kRoundRobin;
+      break;
+    case settings::selector_name::kLeastReportedLoad:
+      options.selector = decision::selector_choice::kLeastReportedLoad;
+      break;
+    case settings::selector_name::kTwoChoice:
+      options.selector = decision::selector_choice::kTwoChoice;
+      break;
+  }
+  options.fair_queue = policy.fair_queue;
+  options.memory_admission = policy.memory_admission;
+  options.eject_outliers = policy.eject_outliers;
+  options.isolate_suspects = policy.isolate_suspects;
+  options.hedge_reads = policy.hedge_reads;
+  options.limit_concurrency = policy.limit_concurrency;
+  options.limit_accounts = policy.limit_accounts;
+  options.max_queued = static_cast<std::size_t>(settings.limits.max_queued);
+  options.max_open = static_cast<std::size_t>(settings.limits.max_open);
+  options.return_window = settings.limits.return_window;
+  return options;
+}
+
+core_options CoreOptions(const settings::entry_settings& settings) {
+  core_options options;
+  options.engine = EngineOptions(settings);
+  options.upstream.max_attempts = static_cast<std::size_t>(settings.limits.max_attempts);
+  options.upstream.connect_timeout = settings.limits.connect_timeout;
+  // Generation ids must differ between processes, so that the seed comes from the system.
+  std::random_device random;
+  options.seed = (std::uint64_t{random()} << 32) | random();
+  return options;
+}
+
+http_server_options ServerOptions(const settings::entry_settings& settings) {
+  http_server_options options;
+  options.max_connections = static_cast<std::size_t>(settings.limits.max_connections);
+  options.request_timeout = settings.limits.request_timeout;
+  options.write_timeout = settings.limits.write_timeout;
+  return options;
+}
+
+caller_api_options ApiOptions(const settings::entry_settings& settings) {
+  caller_api_options options;
+  options.limits.max_tokens = static_cast<std::uint32_t>(settings.limits.max_tokens);
+  options.limits.max_ticket_age = settings.limits.ticket_max_age;
+  options.ticket_key = settings.ticket_key;
+  return options;
+}
+
+}  // namespace
+
+struct entry_process::state {
+  state(settings::entry_settings entry, const clock& source)
+      : settings(std::move(entry)),
+        time(source),
+        core(
+            CoreOptions(settings),
+            [](const claim_action&) { return false; },
+            time,
+            counters),
+        api(ApiOptions(settings), core, documents, time, counters),
+        loads(
+            load_poller_options{},
+            documents,
+            [this](decision::load_reported&& report) { core.Post(std::move(report)); },
+            time,
+            counters),
+        server(ServerOptions(settings),
+               [this](const httplib::Request& request, httplib::Response& response) {
+                 Route(request, response);
+               }) {}
+
+  void Route(const httplib::Request& request, httplib::Response& response) {
+    if (request.path == "/healthz") {
+      response.set_content("ok\n", "text/plain");
+    } else if (request.path == "/readyz") {
+      response.status = ready() ? kHttpOk : kHttpUnavailable;
+      response.set_content(ready() ? "ready\n" : "not ready\n", "text/plain");
+    } else if (request.path == "/metrics") {
+      response.set_content(counters.Expose(), "text/plain; version=0.0.4");
+    } else if (request.path == "/admin/status") {
+      ShowStatus(request, response);
+    } else {
+      api.Handle(request, response);
+      return;
+    }
+    response.set_header("Run-Verdict", std::string(ToString(run_verdict::kNotRun)));
+  }
+
+  bool IsTeam(const httplib::Request& request) const {
+    const auto token = BearerToken(request.get_header_value("Authorization"));
+    const std::string hash = token ? Sha256Hex(*token) : std::string();
+    bool found = false;
+    for (const auto& [name, team] : settings.teams) {
+      found = ConstantTimeEquals(team.token_sha256, hash) || found;
+    }
+    return found;
+  }
+
+  void ShowStatus(const httplib::Request& request, httplib::Response& response) const {
+    if (!IsTeam(request)) {
+      const http_error error{.status = kHttpUnauthorized,
+                             .code = "invalid_token",
+                             .message = "Authorization: expected the bearer token of a team"};
+      response.status = error.status;
+      response.set_content(error.Body(), "application/json");
+      return;
+    }
+    const document::document_ptr document = documents.Get();
+    response.set_content(nlohmann::json{{"vm", settings.vm_name},
+                                        {"failure_domain", settings.failure_domain},
+                                        {"ready", ready()},
+                                        {"draining", draining.load()},
+                                        {"document_version", document ? document->version() : 0},
+                                        {"open_requests", core.OpenRequests()},
+                                        {"open_answers", api.OpenAnswers()},
+                                        {"members", nlohmann::json::array()}}
+                             .dump(),
+                         "application/json");
+  }
+
+  bool ready() const { return !draining && documents.Get() != nullptr; }
+
+  const settings::entry_settings settings;
+  const clock& time;
+  metrics counters;
+  document_holder documents;
+  std::atomic<bool> draining{false};
+  std::atomic<bool> started{false};
+  core_thread core;
+  caller_api api;
+  load_poller loads;
+  http_server server;
+};
+
+entry_process::entry_process(settings::entry_settings settings, const clock& time)
+    : state_(std::make_unique<state>(std::move(settings), time)) {}
+
+entry_process::~entry_process() {
+  Stop();
+}
+
+bool entry_process::Start(document::document_ptr initial) {
+  const auto address = socket_address::Make(state_->settings.callers_address);
+  if (!address || !state_->server.Bind(*address)) {
+    LogEvent("bind_failed", {{"address", state_->settings.callers_address}});
+    return false;
+  }
+  state_->core.Start();
+  state_->started = true;
+  if (initial) {
+    ChangeDocument(std::move(initial));
+  }
+  state_->loads.Start();
+  state_->server.Start();
+  LogEvent("started", {{"vm", state_->settings.vm_name}, {"port", callers_port()}});
+  return true;
+}
+
+void entry_process::ChangeDocument(document::document_ptr next) {
+  if (state_->documents.Advance(next)) {
+    LogEvent("document_changed", {{"version", next->version()}});
+    state_->counters.Gauge("tarragon_document_version")
+        .Set(static_cast<std::int64_t>(next->version()));
+    state_->core.Post(decision::document_changed{std::move(next)});
+  }
+}
+
+int entry_process::callers_port() const {
+  return state_->server.port();
+}
+
+bool entry_process::IsReady() const {
+  return state_->ready();
+}
+
+void entry_process::Drain() {
+  LogEvent("draining", {{"open_requests", state_->core.OpenRequests()}});
+  state_->draining = true;
+  state_->core.Post(decision::drain_started{});
+  while (state_->core.OpenRequests() > 0 || state_->api.OpenAnswers() > 0) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
+  LogEvent("drained");
+}
+
+void entry_process::Stop() {
+  if (state_->started.exchange(false)) {
+    state_->loads.Stop();
+    // The core ends first, which closes the mailboxes that handlers wait for.
+    state_->core.Stop();
+    state_->server.Stop();
+  }
+}
+
+metrics& entry_process::counters() {
+  return state_->counters;
+}
+
+}  // namespace tarragon::net
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,4 +1,4 @@
-#include "http_server.h"
+#include "net/http_server.h"
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
@@ -122,7 +122,7 @@
   void get_local_ip_and_port(std::string& ip, int& port) const override {
     Name(&::getsockname, ip, port);
   }
-  httplib::socket_t socket() const override { return socket_; }
+  socket_t socket() const override { return socket_; }
 
  private:
   bool Fill() {
@@ -245,13 +245,13 @@
   set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
     return CheckBeforeBody(request, response);
   });
-  set_error_handler([](const httplib::Request&, httplib::Response& response) {
+  set_error_handler(HandlerWithResponse([](const httplib::Request&, httplib::Response& response) {
     if (!response.body.empty() || response.has_header("Run-Verdict")) {
       return HandlerResponse::Unhandled;
     }
     FillLibraryError(response);
     return HandlerResponse::Handled;
-  });
+  }));
   // Dispatch by path is left to the handler: the library's regular expressions recurse for each
   // byte of a path.
   const std::string any = "/.*";
@@ -321,7 +321,7 @@
   return HandlerResponse::Unhandled;
 }
 
-bool http_server::process_and_close_socket(httplib::socket_t socket) {
+bool http_server::process_and_close_socket(socket_t socket) {
   const int on = 1;
   ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   connection here(socket, options_);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <thread>
 
-#include "http_library.h"
+#include "net/http_library.h"
 #include "tarragon/net/socket_address.h"
 #include "tarragon/net/thread_pool.h"
 
@@ -62,7 +62,7 @@
   void Stop();
 
  private:
-  bool process_and_close_socket(httplib::socket_t socket) override;
+  bool process_and_close_socket(socket_t socket) override;
   httplib::Server::HandlerResponse CheckBeforeBody(const httplib::Request& request,
                                                    httplib::Response& response);
 
--- a/src/settings/entry_settings.cc
+++ b/src/settings/entry_settings.cc
@@ -7,7 +7,7 @@
 #include <sstream>
 #include <utility>
 
-#include "settings_table.h"
+#include "settings/settings_table.h"
 
 namespace tarragon::settings {
 
--- a/src/settings/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -1,4 +1,4 @@
-#include "settings_table.h"
+#include "settings/settings_table.h"
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
