Add the stand-ins for endpoints and the platform

Change: fake_endpoint (continuous batching in limited memory, resume, cancel, orders, faults, and a plain kind that counts executions) and fake_platform (rows with versions, transactions, objects, list of VMs, weights, faults). The logic is in a library without sockets.

Before: nothing.

--- /dev/null
+++ b/tests/fakes/fake_endpoint/generation_store.h
@@ -0,0 +1,120 @@
+#ifndef TARRAGON_FAKES_FAKE_ENDPOINT_GENERATION_STORE_H_
+#define TARRAGON_FAKES_FAKE_ENDPOINT_GENERATION_STORE_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "tarragon/base/clock.h"
+#include "tarragon/base/ids.h"
+
+namespace tarragon::fakes {
+
+enum class generation_state : std::uint8_t { kActive, kFinished, kCancelled };
+
+/** What a reader of a generation may send next. */
+struct generation_progress {
+  /** Times at which the tokens from the wanted index on were produced. */
+  std::vector<time_point> produced_at;
+  generation_state state = generation_state::kActive;
+  std::string finish_reason;
+};
+
+/** One line of the record of everything that ran. */
+struct generation_summary {
+  generation_id id;
+  std::uint32_t tokens = 0;
+  std::uint32_t prompt_tokens = 0;
+  int priority = 0;
+  int attached = 0;
+  generation_state state = generation_state::kActive;
+};
+
+std::string_view ToString(generation_state state);
+
+/** @return text of a token, from which a client can check its order and its generation. */
+std::string TokenText(const generation_id& id, std::uint32_t index);
+
+/** One generation; it outlives the connections that read it. Safe from any thread. */
+class generation final {
+ public:
+  generation(generation_id id, std::uint32_t prompt_tokens, int priority, time_point now);
+
+  const generation_id& id() const { return id_; }
+
+  /** @param finish_reason empty unless this is the last token. */
+  void Append(time_point now, std::string finish_reason);
+  /** Ends the generation without a further token. */
+  void End(generation_state state, std::string finish_reason, time_point now);
+
+  void Attach();
+  void Detach(time_point now);
+
+  /** Waits up to `wait` for a token at `from` or for the end. */
+  generation_progress WaitFor(std::uint32_t from, duration wait);
+
+  /** @return whether the generation is active and nobody has been attached for `limit`. */
+  bool IsOrphan(time_point now, duration limit) const;
+  /** @return whether the generation ended more than `limit` ago. */
+  bool IsExpired(time_point now, duration limit) const;
+  bool IsActive() const;
+
+  /** Releases the tokens, which can no longer be read. */
+  void Forget();
+
+  generation_summary Summary() const;
+
+ private:
+  const generation_id id_;
+  const std::uint32_t prompt_tokens_;
+  const int priority_;
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<time_point> produced_at_;
+  std::uint32_t tokens_ = 0;
+  generation_state state_ = generation_state::kActive;
+  std::string finish_reason_;
+  int attached_ = 0;
+  time_point changed_attachment_at_;
+  time_point ended_at_{};
+};
+
+using generation_ptr = std::shared_ptr<generation>;
+
+/** All generations that ever ran, by id. Safe from any thread. */
+class generation_store final {
+ public:
+  /** @param keep time after its end during which a generation can be read. */
+  explicit generation_store(duration keep);
+
+  /** @return a new generation, or null if the id is known, be it expired. */
+  generation_ptr Add(const generation_id& id,
+                     std::uint32_t prompt_tokens,
+                     int priority,
+                     time_point now);
+
+  /** Takes back a generation that was never accepted. */
+  void Remove(const generation_id& id);
+
+  /** @return the generation, or null if it is unknown or expired. */
+  generation_ptr Find(const generation_id& id, time_point now) const;
+
+  /** Forgets expired generations. @return active ones without a reader for `orphan_limit`. */
+  std::vector<generation_ptr> Sweep(time_point now, duration orphan_limit);
+
+  std::vector<generation_summary> Summaries() const;
+
+ private:
+  const duration keep_;
+  mutable std::mutex mutex_;
+  std::map<generation_id, generation_ptr> generations_;
+};
+
+}  // namespace tarragon::fakes
+
+#endif  // TARRAGON_FAKES_FAKE_ENDPOINT_GENERATION_STORE_H_
--- /dev/null
+++ b/tests/fakes/fake_endpoint/plain_service.cc
@@ -0,0 +1,121 @@
+#include "fakes/fake_endpoint/plain_service.h"
+
+#include <utility>
+
+namespace tarragon::fakes {
+
+namespace {
+
+constexpr std::chrono::milliseconds kReportInterval{20};
+
+}  // namespace
+
+plain_service::plain_service(plain_options options, const clock& time, fault_state& faults)
+    : options_(std::move(options)),
+      clock_(time),
+      faults_(faults),
+      reporter_(options_.report_lag),
+      random_(options_.seed) {
+  reporter_.Record(clock_.Now(), PresentLoad());
+  report_thread_ = std::thread([this] { RunReports(); });
+}
+
+plain_service::~plain_service() {
+  stopping_ = true;
+  report_thread_.join();
+}
+
+void plain_service::Register(stand_in_server& server) {
+  using httplib::Request;
+  using httplib::Response;
+  server.Get("/executions",
+             [this](const Request&, Response& response) { Answer(response, 200, log_.List()); });
+  server.Get("/load", [this](const Request&, Response& response) {
+    Answer(response, 200, reporter_.Report(clock_.Now()));
+  });
+  server.Get("/stats", [this](const Request&, Response& response) {
+    nlohmann::json stats = PresentLoad();
+    stats["executions"] = log_.List();
+    std::lock_guard lock(mutex_);
+    stats["declined"] = declined_;
+    Answer(response, 200, stats);
+  });
+  const auto handle = [this](const Request& request, Response& response) {
+    HandleAny(request, response);
+  };
+  server.Get(".*", handle);
+  server.Post(".*", handle);
+  server.Put(".*", handle);
+  server.Patch(".*", handle);
+  server.Delete(".*", handle);
+  server.Options(".*", handle);
+}
+
+void plain_service::HandleAny(const httplib::Request& request, httplib::Response& response) {
+  if (faults_.IsClosedForLeaving(clock_.Now()) || !TakeSlot()) {
+    response.set_header("Retry-After", "1");
+    AnswerError(response, 429, "declined", "the request was not taken");
+    return;
+  }
+  // Counted at the start: an execution that is cut off may have had its effect.
+  const std::uint64_t executions =
+      log_.Add({request.get_header_value("Idempotency-Key"), request.method, request.path});
+  std::this_thread::sleep_for(DrawServiceTime());
+  ReturnSlot();
+  std::this_thread::sleep_for(faults_.AnswerDelay(clock_.Now()));
+  Answer(response, 200,
+         {{"service", options_.name},
+          {"path", request.path},
+          {"method", request.method},
+          {"body", request.body},
+          {"executions", executions}});
+}
+
+bool plain_service::TakeSlot() {
+  std::unique_lock lock(mutex_);
+  if (running_ >= options_.slots) {
+    if (waiting_ >= options_.max_waiting) {
+      ++declined_;
+      return false;
+    }
+    ++waiting_;
+    slot_free_.wait(lock, [this] { return running_ < options_.slots; });
+    --waiting_;
+  }
+  ++running_;
+  return true;
+}
+
+void plain_service::ReturnSlot() {
+  {
+    std::lock_guard lock(mutex_);
+    --running_;
+  }
+  slot_free_.notify_one();
+}
+
+duration plain_service::DrawServiceTime() {
+  std::lock_guard lock(mutex_);
+  const duration jitter(
+      std::uniform_int_distribution<duration::rep>(0, duration(options_.jitter).count())(random_));
+  return std::chrono::duration_cast<duration>((options_.service_time + jitter) *
+                                              faults_.SlowFactor(clock_.Now()));
+}
+
+nlohmann::json plain_service::PresentLoad() const {
+  std::lock_guard lock(mutex_);
+  return {{"running", running_},
+          {"waiting", waiting_},
+          {"slots", options_.slots},
+          {"leaving", faults_.IsLeaving()}};
+}
+
+void plain_service::RunReports() {
+  while (!stopping_) {
+    std::this_thread::sleep_for(kReportInterval);
+    std::this_thread::sleep_until(faults_.FrozenUntil());
+    reporter_.Record(clock_.Now(), PresentLoad());
+  }
+}
+
+}  // namespace tarragon::fakes
--- /dev/null
+++ b/tests/fakes/fake_platform/vm_list.cc
@@ -0,0 +1,37 @@
+#include "fakes/fake_platform/vm_list.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+namespace tarragon::fakes {
+
+vm_list::vm_list(duration lag) : lag_(lag) {}
+
+void vm_list::Set(const vm_entry& entry, time_point now) {
+  std::lock_guard lock(mutex_);
+  pending_.push_back({now, entry.id, entry});
+}
+
+void vm_list::Remove(const std::string& id, time_point now) {
+  std::lock_guard lock(mutex_);
+  pending_.push_back({now, id, std::nullopt});
+}
+
+std::vector<vm_entry> vm_list::List(time_point now) {
+  std::lock_guard lock(mutex_);
+  while (!pending_.empty() && now - pending_.front().at >= lag_) {
+    const change& due = pending_.front();
+    if (due.entry) {
+      shown_.insert_or_assign(due.id, *due.entry);
+    } else {
+      shown_.erase(due.id);
+    }
+    pending_.pop_front();
+  }
+  std::vector<vm_entry> entries;
+  std::ranges::copy(shown_ | std::views::values, std::back_inserter(entries));
+  return entries;
+}
+
+}  // namespace tarragon::fakes
