Add the policy library

Cause: the request engine is written at the same time and needs the policies' interfaces.

Before: no policies.

Conclusion: signatures are ready to be used.

--- /dev/null
+++ b/include/tarragon/policy/hedge_policy.h
@@ -0,0 +1,61 @@
+#ifndef TARRAGON_POLICY_HEDGE_POLICY_H_
+#define TARRAGON_POLICY_HEDGE_POLICY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "tarragon/base/clock.h"
+#include "tarragon/policy/decaying_histogram.h"
+
+namespace tarragon::policy {
+
+class retry_budget;
+
+struct hedge_options {
+  /** A request is hedged once it has waited longer than this quantile of its class. */
+  double quantile = 0.95;
+  double min_samples = 50;
+  /** Lower bound of the delay, against hedges within the noise of the scheduler. */
+  duration min_delay = std::chrono::milliseconds(5);
+};
+
+/** An attempt that has produced nothing so far. */
+struct hedge_facts {
+  std::string_view request_class;
+  /** The request may run any number of times. */
+  bool repeatable = false;
+  /** Attempts of the request that are in flight. */
+  std::uint32_t attempts_in_flight = 1;
+  /** Tokens or bytes of the answer received so far. */
+  std::uint32_t tokens_received = 0;
+  /** Time since the attempt was sent. */
+  duration waited{0};
+  /** Time left until the deadline. */
+  duration left{0};
+};
+
+/** Says when a second attempt of a slow request may be sent. */
+class hedge_policy final {
+ public:
+  explicit hedge_policy(hedge_options options = {});
+
+  /** @param latency time from the send to the first token or, for calls, to the answer. */
+  void Record(std::string_view request_class, duration latency);
+
+  /** @return time to wait before a hedge; empty if too little is known of the class. */
+  std::optional<duration> Delay(std::string_view request_class) const;
+
+  /** Takes one from `budget` if it returns true. */
+  bool ShouldHedge(const hedge_facts& facts, retry_budget& budget) const;
+
+ private:
+  hedge_options options_;
+  std::map<std::string, decaying_histogram, std::less<>> latencies_;
+};
+
+}  // namespace tarragon::policy
+
+#endif  // TARRAGON_POLICY_HEDGE_POLICY_H_
--- /dev/null
+++ b/src/policy/account_limiter.cc
@@ -0,0 +1,150 @@
+#include "tarragon/policy/account_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "tarragon/base/invariant.h"
+
+namespace tarragon::policy {
+
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+// Offered rates are averaged over this time. Shorter follows a swing faster, longer gives small
+// accounts a steadier share.
+constexpr seconds kDemandTime{2.0};
+// Depth of a bucket in time at the entry's present rate.
+constexpr seconds kBurst{1.0};
+// Slowest retry that is asked for; gossip changes the shares much sooner.
+constexpr seconds kMaxRetry{30.0};
+
+duration ToDuration(seconds time) {
+  return std::chrono::duration_cast<duration>(time);
+}
+
+}  // namespace
+
+void account_limiter::SetRate(account_id account, double requests_per_second) {
+  const auto [found, added] = accounts_.try_emplace(account);
+  found->second.fleet_rate = std::max(requests_per_second, 0.0);
+  if (!added) {
+    return;
+  }
+  for (const auto& [vm, demand] : peers_) {
+    if (const auto known = demand.find(account); known != demand.end()) {
+      found->second.peer_demand += known->second;
+    }
+  }
+}
+
+void account_limiter::RemoveAccount(account_id account) {
+  accounts_.erase(account);
+}
+
+double account_limiter::OfferedRate(const bucket& account, time_point now) {
+  if (!account.started) {
+    return 0;
+  }
+  const seconds age = now - account.updated;
+  return account.offered * std::exp(-age / kDemandTime) / kDemandTime.count();
+}
+
+double account_limiter::Share(const bucket& account, double offered_rate) {
+  const double total = offered_rate + account.peer_demand;
+  if (total <= account.fleet_rate) {
+    return account.fleet_rate - account.peer_demand;
+  }
+  return account.fleet_rate * offered_rate / total;
+}
+
+limit_answer account_limiter::Admit(time_point now, account_id account) {
+  const auto found = accounts_.find(account);
+  if (found == accounts_.end()) {
+    return {};
+  }
+  bucket& state = found->second;
+  const seconds passed = state.started ? now - state.updated : duration::zero();
+  state.offered = OfferedRate(state, now) * kDemandTime.count() + 1;
+  state.updated = now;
+  state.started = true;
+  if (state.fleet_rate <= 0) {
+    return {};
+  }
+  const double rate = Share(state, OfferedRate(state, now));
+  const double depth = std::max(1.0, rate * kBurst.count());
+  state.tokens = std::min(state.tokens + passed.count() * rate, depth);
+  if (state.tokens >= 1) {
+    state.tokens -= 1;
+    return {};
+  }
+  const seconds wait{(1 - state.tokens) / std::max(rate, 1 / kMaxRetry.count())};
+  return {false, ToDuration(std::min(wait, kMaxRetry))};
+}
+
+void account_limiter::SetPeer(std::string_view vm, const std::vector<account_demand>& demand) {
+  RemovePeer(vm);
+  auto& known = peers_[std::string(vm)];
+  for (const account_demand& usage : demand) {
+    const double rate = std::max(usage.requests_per_second, 0.0);
+    if (!known.emplace(usage.account, rate).second) {
+      continue;
+    }
+    if (const auto found = accounts_.find(usage.account); found != accounts_.end()) {
+      found->second.peer_demand += rate;
+    }
+  }
+}
+
+void account_limiter::RemovePeer(std::string_view vm) {
+  const auto peer = peers_.find(std::string(vm));
+  if (peer == peers_.end()) {
+    return;
+  }
+  for (const auto& [account, rate] : peer->second) {
+    if (const auto found = accounts_.find(account); found != accounts_.end()) {
+      found->second.peer_demand = std::max(found->second.peer_demand - rate, 0.0);
+    }
+  }
+  peers_.erase(peer);
+}
+
+std::vector<account_demand> account_limiter::LocalDemand(time_point now,
+                                                         std::size_t max_accounts) const {
+  // Below this rate a demand changes no share that matters and is not worth a datagram.
+  constexpr double kNegligible = 0.01;
+  std::vector<account_demand> result;
+  for (const auto& [account, state] : accounts_) {
+    const double rate = OfferedRate(state, now);
+    if (state.fleet_rate > 0 && rate > kNegligible) {
+      result.push_back({account, rate});
+    }
+  }
+  std::ranges::sort(result, [](const account_demand& a, const account_demand& b) {
+    return std::pair(-a.requests_per_second, a.account) <
+           std::pair(-b.requests_per_second, b.account);
+  });
+  result.resize(std::min(result.size(), max_accounts));
+  return result;
+}
+
+double account_limiter::LocalRate(time_point now, account_id account) const {
+  const auto found = accounts_.find(account);
+  return found == accounts_.end() ? 0 : Share(found->second, OfferedRate(found->second, now));
+}
+
+void account_limiter::Validate() const {
+  for (const auto& [account, state] : accounts_) {
+    double sum = 0;
+    for (const auto& [vm, demand] : peers_) {
+      if (const auto known = demand.find(account); known != demand.end()) {
+        sum += known->second;
+      }
+    }
+    TARRAGON_INVARIANT(std::abs(sum - state.peer_demand) <= 1e-6 * std::max(sum, 1.0),
+                       "peer demand does not add up");
+    TARRAGON_INVARIANT(state.tokens >= 0, "bucket overdrawn");
+  }
+}
+
+}  // namespace tarragon::policy
--- /dev/null
+++ b/src/policy/admission_queue.cc
@@ -0,0 +1,360 @@
+#include "tarragon/policy/admission_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+#include "tarragon/base/invariant.h"
+
+namespace tarragon::policy {
+
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+// Time over which the service rate is averaged: a swing of demand or a slowed fleet shows in about
+// this time.
+constexpr seconds kRateTime{2.0};
+// With less observed busy time than this the rate is unknown, and nothing is refused by it.
+constexpr double kMinBusySeconds = 0.05;
+constexpr duration kLongestWait = std::chrono::hours(1);
+
+}  // namespace
+
+admission_queue::admission_queue(admission_queue_options options) : options_(options) {}
+
+admission_queue::class_key admission_queue::KeyOf(const queued_request& item) {
+  return {!item.urgent, item.request_class};
+}
+
+double& admission_queue::VirtualTime(bool deferrable) {
+  return deferrable ? deferrable_virtual_time_ : urgent_virtual_time_;
+}
+
+void admission_queue::ObserveTime(time_point now) {
+  if (!items_.empty() && now > observed_until_) {
+    const seconds passed = now - observed_until_;
+    const double kept = std::exp(-passed / kRateTime);
+    busy_seconds_ = busy_seconds_ * kept + passed.count();
+    served_cost_ *= kept;
+  }
+  observed_until_ = std::max(observed_until_, now);
+}
+
+double admission_queue::ServiceRate() const {
+  return busy_seconds_ < kMinBusySeconds ? 0 : served_cost_ / busy_seconds_;
+}
+
+duration admission_queue::ExpectedWait(const queued_request& item) const {
+  if (busy_seconds_ < kMinBusySeconds) {
+    return duration::zero();
+  }
+  const class_key key = KeyOf(item);
+  double urgent_backlog = 0;
+  double level_backlog = item.cost;
+  double other_class_weight = 0;
+  for (const auto& [other, queue] : classes_) {
+    if (other.deferrable != key.deferrable) {
+      urgent_backlog += other.deferrable ? 0 : queue.backlog;
+      continue;
+    }
+    level_backlog += queue.backlog;
+    if (other != key && queue.active_weight > 0) {
+      other_class_weight += queue.weight;
+    }
+  }
+  double own_backlog = item.cost;
+  double class_backlog = item.cost;
+  double other_account_weight = 0;
+  if (const auto found = classes_.find(key); found != classes_.end()) {
+    const class_queue& queue = found->second;
+    class_backlog += queue.backlog;
+    other_account_weight = queue.active_weight;
+    const auto own = queue.flows.find(item.account);
+    if (own != queue.flows.end() && !own->second.waiting.empty()) {
+      own_backlog += own->second.backlog;
+      other_account_weight = std::max(other_account_weight - own->second.weight, 0.0);
+    }
+  }
+  // Fair shares bound the work that leaves before this request, and so does all work that waits.
+  const double in_class =
+      std::min(own_backlog * (item.weight + other_account_weight) / item.weight, class_backlog);
+  const double in_level = std::min(
+      in_class * (item.class_weight + other_class_weight) / item.class_weight, level_backlog);
+  // At most a longest wait: a queue from which nothing leaves has no rate to divide by.
+  const double rate =
+      std::max(ServiceRate(), (urgent_backlog + in_level) / seconds(kLongestWait).count());
+  return std::chrono::duration_cast<duration>(seconds((urgent_backlog + in_level) / rate));
+}
+
+push_result admission_queue::Push(time_point now, const queued_request& item) {
+  TARRAGON_INVARIANT(item.weight > 0 && item.class_weight > 0 && item.cost > 0,
+                     "weights and cost must be positive");
+  TARRAGON_INVARIANT(!items_.contains(item.request), "request queued twice");
+  ObserveTime(now);
+  push_result result;
+  result.expected_wait = ExpectedWait(item);
+  if (now + result.expected_wait + item.service_time > item.deadline) {
+    result.outcome = push_outcome::kTooLate;
+    return result;
+  }
+  if (!MakeRoom(item, result.displaced)) {
+    result.outcome = push_outcome::kFull;
+    return result;
+  }
+  Insert(now, item);
+  return result;
+}
+
+std::optional<request_id> admission_queue::FindVictim(const queued_request& item) const {
+  const class_key key = KeyOf(item);
+  const auto level_of = [this](bool deferrable) {
+    const class_key first{deferrable, {}};
+    const auto begin = classes_.lower_bound(first);
+    const auto end = deferrable ? classes_.end() : classes_.lower_bound(class_key{true, {}});
+    return std::pair(begin, end);
+  };
+  const auto largest_class = [&](bool deferrable) {
+    const auto [begin, end] = level_of(deferrable);
+    const class_queue* largest = nullptr;
+    const class_key* largest_key = nullptr;
+    double largest_backlog = 0;
+    for (auto it = begin; it != end; ++it) {
+      const double own = it->first == key ? item.cost : 0;
+      const double backlog = (it->second.backlog + own) / it->second.weight;
+      if (!it->second.by_backlog.empty() && backlog > largest_backlog) {
+        largest = &it->second;
+        largest_key = &it->first;
+        largest_backlog = backlog;
+      }
+    }
+    return std::pair(largest_key, largest);
+  };
+  auto [victim_key, victim] = largest_class(true);
+  if (victim == nullptr && item.urgent) {
+    std::tie(victim_key, victim) = largest_class(false);
+  }
+  if (victim == nullptr) {
+    return std::nullopt;
+  }
+  const auto& [backlog, account] = *victim->by_backlog.rbegin();
+  if (*victim_key == key) {
+    const auto own = victim->flows.find(item.account);
+    const double waiting = own == victim->flows.end() ? 0 : own->second.backlog;
+    if ((waiting + item.cost) / item.weight >= backlog) {
+      return std::nullopt;
+    }
+  }
+  return victim->flows.at(account).waiting.rbegin()->second;
+}
+
+bool admission_queue::MakeRoom(const queued_request& item, std::vector<request_id>& displaced) {
+  if (item.bytes > options_.max_bytes || options_.max_requests == 0) {
+    return false;
+  }
+  while (items_.size() >= options_.max_requests || bytes_ + item.bytes > options_.max_bytes) {
+    const std::optional<request_id> victim = FindVictim(item);
+    if (!victim) {
+      return false;
+    }
+    Erase(*victim, /*served=*/false);
+    displaced.push_back(*victim);
+  }
+  return true;
+}
+
+void admission_queue::UnindexFlow(class_queue& queue, account_id account, const flow& waiting) {
+  if (!waiting.waiting.empty()) {
+    queue.heads.erase({waiting.start, account});
+    queue.by_backlog.erase({waiting.backlog / waiting.weight, account});
+    queue.active_weight -= waiting.weight;
+  }
+}
+
+void admission_queue::IndexFlow(class_queue& queue, account_id account, flow& waiting) {
+  if (!waiting.waiting.empty()) {
+    queue.heads.emplace(waiting.start, account);
+    queue.by_backlog.emplace(waiting.backlog / waiting.weight, account);
+    queue.active_weight += waiting.weight;
+  }
+}
+
+void admission_queue::Insert(time_point now, const queued_request& item) {
+  const class_key key = KeyOf(item);
+  class_queue& queue = classes_[key];
+  queue.weight = item.class_weight;
+  if (queue.heads.empty()) {
+    queue.start = std::max(VirtualTime(key.deferrable), queue.last_finish);
+  }
+  flow& account = queue.flows[item.account];
+  UnindexFlow(queue, item.account, account);
+  if (account.waiting.empty()) {
+    account.start = std::max(queue.virtual_time, account.last_finish);
+  }
+  account.weight = item.weight;
+  account.backlog += item.cost;
+  account.waiting.emplace(next_sequence_, item.request);
+  IndexFlow(queue, item.account, account);
+  queue.backlog += item.cost;
+  bytes_ += item.bytes;
+  by_latest_start_.emplace(item.deadline - item.service_time, item.request);
+  items_.emplace(item.request, entry{item, next_sequence_, now});
+  next_sequence_ += 1;
+}
+
+void admission_queue::Erase(request_id request, bool served) {
+  const auto found = items_.find(request);
+  TARRAGON_INVARIANT(found != items_.end(), "request is not queued");
+  const entry& known = found->second;
+  const queued_request& item = known.item;
+  const class_key key = KeyOf(item);
+  class_queue& queue = classes_.at(key);
+  flow& account = queue.flows.at(item.account);
+  UnindexFlow(queue, item.account, account);
+  account.waiting.erase(known.sequence);
+  account.backlog -= item.cost;
+  queue.backlog -= item.cost;
+  if (served) {
+    queue.virtual_time = std::max(queue.virtual_time, account.start);
+    account.last_finish = account.start + item.cost / account.weight;
+    account.start = std::max(queue.virtual_time, account.last_finish);
+    double& level_time = VirtualTime(key.deferrable);
+    level_time = std::max(level_time, queue.start);
+    queue.last_finish = queue.start + item.cost / queue.weight;
+    queue.start = std::max(level_time, queue.last_finish);
+  }
+  if (account.waiting.empty()) {
+    // Exact zero, as sums of differences leave a remainder.
+    account.backlog = 0;
+    if (account.last_finish <= queue.virtual_time) {
+      queue.flows.erase(item.account);
+    }
+  } else {
+    IndexFlow(queue, item.account, account);
+  }
+  bytes_ -= item.bytes;
+  by_latest_start_.erase({item.deadline - item.service_time, request});
+  if (queue.heads.empty()) {
+    // An idle class starts a new period, in which no account is behind or ahead.
+    queue.flows.clear();
+    queue.virtual_time = queue.backlog = queue.active_weight = 0;
+  }
+  items_.erase(found);
+  if (items_.empty()) {
+    classes_.clear();
+    urgent_virtual_time_ = deferrable_virtual_time_ = 0;
+  }
+}
+
+std::optional<request_id> admission_queue::FindSendable(const class_queue& queue,
+                                                        const predicate& can_send,
+                                                        std::size_t& probes_left) const {
+  for (const auto& [start, account] : queue.heads) {
+    if (probes_left == 0) {
+      return std::nullopt;
+    }
+    probes_left -= 1;
+    const request_id head = queue.flows.at(account).waiting.begin()->second;
+    if (can_send(items_.at(head).item)) {
+      return head;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<queued_request> admission_queue::Pop(time_point now, const predicate& can_send) {
+  ObserveTime(now);
+  std::vector<std::pair<const class_key*, const class_queue*>> order;
+  order.reserve(classes_.size());
+  for (const auto& [key, queue] : classes_) {
+    if (!queue.heads.empty()) {
+      order.emplace_back(&key, &queue);
+    }
+  }
+  std::ranges::sort(order, {}, [](const auto& known) {
+    return std::tuple(known.first->deferrable, known.second->start, known.first->name);
+  });
+  std::optional<request_id> chosen;
+  for (const auto& [key, queue] : order) {
+    // Each class has its own bound, so that one whose work does not fit now cannot hide another.
+    std::size_t probes_left = options_.max_probes;
+    chosen = FindSendable(*queue, can_send, probes_left);
+    if (chosen) {
+      break;
+    }
+  }
+  if (!chosen) {
+    return std::nullopt;
+  }
+  const entry& known = items_.at(*chosen);
+  // A request that leaves at once says nothing of the rate at which a backlog is served.
+  if (known.since < now) {
+    served_cost_ += known.item.cost;
+  }
+  queued_request item = known.item;
+  Erase(*chosen, /*served=*/true);
+  return item;
+}
+
+std::vector<request_id> admission_queue::Expire(time_point now) {
+  ObserveTime(now);
+  std::vector<request_id> expired;
+  while (!by_latest_start_.empty() && by_latest_start_.begin()->first < now) {
+    const request_id request = by_latest_start_.begin()->second;
+    Erase(request, /*served=*/false);
+    expired.push_back(request);
+  }
+  return expired;
+}
+
+bool admission_queue::Remove(request_id request) {
+  if (!items_.contains(request)) {
+    return false;
+  }
+  Erase(request, /*served=*/false);
+  return true;
+}
+
+void admission_queue::Validate() const {
+  constexpr double kRounding = 1e-6;
+  std::size_t waiting = 0;
+  std::size_t bytes = 0;
+  for (const auto& [request, known] : items_) {
+    bytes += known.item.bytes;
+  }
+  for (const auto& [key, queue] : classes_) {
+    double class_cost = 0;
+    double active_weight = 0;
+    for (const auto& [account, flow] : queue.flows) {
+      double cost = 0;
+      for (const auto& [sequence, request] : flow.waiting) {
+        const entry& known = items_.at(request);
+        TARRAGON_INVARIANT(known.sequence == sequence && known.item.account == account,
+                           "request queued under another account");
+        cost += known.item.cost;
+      }
+      waiting += flow.waiting.size();
+      class_cost += cost;
+      active_weight += flow.waiting.empty() ? 0 : flow.weight;
+      TARRAGON_INVARIANT(std::abs(cost - flow.backlog) <= kRounding * std::max(1.0, cost),
+                         "backlog of an account does not add up");
+      TARRAGON_INVARIANT(flow.waiting.empty() == !queue.heads.contains({flow.start, account}),
+                         "account with waiting requests has no head");
+    }
+    TARRAGON_INVARIANT(queue.heads.size() == queue.by_backlog.size(), "indices disagree");
+    TARRAGON_INVARIANT(
+        std::abs(class_cost - queue.backlog) <= kRounding * std::max(1.0, class_cost),
+        "backlog of a class does not add up");
+    TARRAGON_INVARIANT(
+        std::abs(active_weight - queue.active_weight) <= kRounding * std::max(1.0, active_weight),
+        "active weight does not add up");
+  }
+  TARRAGON_INVARIANT(waiting == items_.size(), "request in no account's queue");
+  TARRAGON_INVARIANT(by_latest_start_.size() == items_.size(), "request without a deadline");
+  TARRAGON_INVARIANT(bytes == bytes_, "bytes do not add up");
+  TARRAGON_INVARIANT(items_.size() <= options_.max_requests && bytes_ <= options_.max_bytes,
+                     "queue above its bounds");
+}
+
+}  // namespace tarragon::policy
--- /dev/null
+++ b/src/policy/round_robin.cc
@@ -0,0 +1,17 @@
+#include "tarragon/policy/round_robin.h"
+
+namespace tarragon::policy {
+
+std::optional<std::size_t> round_robin::Choose(std::span<const endpoint_candidate> candidates,
+                                               std::mt19937_64& /*random*/) {
+  for (std::size_t step = 0; step < candidates.size(); ++step) {
+    const std::size_t position = (next_ + step) % candidates.size();
+    if (candidates[position].eligible) {
+      next_ = position + 1;
+      return position;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace tarragon::policy
