--- a/src/net/upstream.cc
+++ b/src/net/upstream.cc
@@ -149,7 +149,11 @@
       return;
     }
     next_ = *index + 1;
-    sink_(decision::token_received{attempt_, generation_, *index, text->get<std::string>()});
+    // The engine checks the generation that the endpoint names, because answers may be crossed.
+    const auto id = json.find("id");
+    sink_(decision::token_received{
+        attempt_, id != json.end() && id->is_string() ? id->get<std::string>() : generation_,
+        *index, text->get<std::string>()});
   }
 
   attempt_id attempt_;
