--- a/include/tarragon/net/caller_api.h
+++ b/include/tarragon/net/caller_api.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "tarragon/base/clock.h"
+#include "tarragon/document/document_replica.h"
 #include "tarragon/net/caller_request.h"
 
 namespace httplib {
@@ -22,8 +23,6 @@
 namespace tarragon::net {
 
 class core_thread;
-class document_holder;
-
 struct caller_api_options {
   request_limits limits;
   /** Fleet key that resumption tickets are signed with. */
@@ -41,7 +40,7 @@
  public:
   caller_api(caller_api_options options,
              core_thread& core,
-             const document_holder& documents,
+             const document::document_replica& documents,
              const clock& time,
              metrics& counters);
   ~caller_api();
--- a/include/tarragon/net/load_poller.h
+++ b/include/tarragon/net/load_poller.h
@@ -7,6 +7,7 @@
 
 #include "tarragon/base/clock.h"
 #include "tarragon/decision/event.h"
+#include "tarragon/document/document_replica.h"
 
 namespace tarragon {
 class metrics;
@@ -14,8 +15,6 @@
 
 namespace tarragon::net {
 
-class document_holder;
-
 struct load_poller_options {
   /** Bytes per second for all polls together, out of the control budget of 8 KB/s. */
   double bytes_per_second = 2500;
@@ -35,7 +34,7 @@
   using report_sink = std::function<void(decision::load_reported&&)>;
 
   load_poller(load_poller_options options,
-              const document_holder& documents,
+              const document::document_replica& documents,
               report_sink sink,
               const clock& time,
               metrics& counters);
--- a/src/net/answer_writer.cc
+++ b/src/net/answer_writer.cc
@@ -27,10 +27,10 @@
   collected_.clear();
   collected_tokens_ = 0;
   const bool chat = format_ == answer_format::kChat;
-  before_text_ = fmt::format(R"({{"id":{},"object":"{}","model":{},"choices":[{{"index":0,{})",
-                             Dump("cmpl-" + generation_),
-                             chat ? "chat.completion.chunk" : "text_completion", Dump(model_),
-                             chat ? R"("delta":{"content":)" : R"("text":)");
+  before_text_ =
+      fmt::format(R"({{"id":{},"object":"{}","model":{},"choices":[{{"index":0,{})",
+                  Dump("cmpl-" + generation_), chat ? "chat.completion.chunk" : "text_completion",
+                  Dump(model_), chat ? R"("delta":{"content":)" : R"("text":)");
   after_text_ = chat ? R"(},"finish_reason":null}]})" : R"(,"finish_reason":null}]})";
 }
 
--- a/src/net/caller_api.cc
+++ b/src/net/caller_api.cc
@@ -7,9 +7,9 @@
 #include "net/http_library.h"
 #include "net/http_server.h"
 #include "tarragon/base/metrics.h"
+#include "tarragon/document/document_replica.h"
 #include "tarragon/net/answer_writer.h"
 #include "tarragon/net/core_thread.h"
-#include "tarragon/net/document_holder.h"
 #include "tarragon/net/resumption_ticket.h"
 
 namespace tarragon::net {
@@ -28,7 +28,7 @@
 
 struct header_target {
   const char* name;
-  std::optional<std::string> raw_request::* field;
+  std::optional<std::string> raw_request::*field;
 };
 
 constexpr std::array<header_target, 6> kHeaders = {{
@@ -95,7 +95,7 @@
 struct caller_api::state {
   state(caller_api_options api_options,
         core_thread& core_to_use,
-        const document_holder& holder,
+        const document::document_replica& holder,
         const clock& source,
         metrics& counters)
       : options(std::move(api_options)),
@@ -226,9 +226,8 @@
     SetVerdict(response, run_verdict::kMayHaveRun);
     response.set_header("Cache-Control", "no-store");
     response.set_chunked_content_provider(
-        "text/event-stream", [one = std::move(one)](std::size_t, httplib::DataSink& sink) {
-          return one->Write(sink);
-        });
+        "text/event-stream",
+        [one = std::move(one)](std::size_t, httplib::DataSink& sink) { return one->Write(sink); });
   }
 
   void AnswerWhole(exchange& one, caller_message first, httplib::Response& response) {
@@ -276,8 +275,8 @@
     decision::request_facts facts = request.facts;
     facts.request.value = next_request.fetch_add(1);
     decision::event arrival = Arrival(facts, request);
-    const std::size_t bytes = request.held || facts.whole_answer ? options.held_mailbox_bytes
-                                                                 : options.mailbox_bytes;
+    const std::size_t bytes =
+        request.held || facts.whole_answer ? options.held_mailbox_bytes : options.mailbox_bytes;
     auto open = std::make_shared<open_request>(std::move(facts), request.call, bytes);
     const time_point start = time.Now();
     if (!core.TryOpen(open, std::move(arrival))) {
@@ -320,7 +319,7 @@
 
   const caller_api_options options;
   core_thread& core;
-  const document_holder& documents;
+  const document::document_replica& documents;
   const clock& time;
   counter& requests;
   counter& rejected;
@@ -332,7 +331,7 @@
 
 caller_api::caller_api(caller_api_options options,
                        core_thread& core,
-                       const document_holder& documents,
+                       const document::document_replica& documents,
                        const clock& time,
                        metrics& counters)
     : state_(std::make_unique<state>(std::move(options), core, documents, time, counters)) {}
@@ -345,7 +344,7 @@
     state_->rejected.Add();
     Answer(error, response);
   };
-  const document::document_ptr document = state_->documents.Get();
+  const document::document_ptr document = state_->documents.Current();
   if (!document) {
     return fail({.status = kHttpUnavailable,
                  .code = "no_document",
--- a/src/net/caller_request.cc
+++ b/src/net/caller_request.cc
@@ -47,8 +47,8 @@
 /** Keys become part of a table key, so that separators and control bytes are not allowed. */
 bool IsValidIdempotencyKey(std::string_view key) {
   const auto allowed = [](char c) {
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-           c == '-' || c == '_' || c == '.' || c == ':';
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '_' || c == '.' || c == ':';
   };
   return !key.empty() && key.size() <= kMaxKeyBytes && std::ranges::all_of(key, allowed);
 }
@@ -75,8 +75,9 @@
   }
   const auto ms = ParseNumber<std::int64_t>(*raw.deadline_ms);
   if (!ms || *ms < 1 || *ms > limits.max_deadline.count()) {
-    return BadRequest("invalid_deadline", fmt::format("Deadline-Ms: expected an integer from 1 to {}",
-                                                      limits.max_deadline.count()));
+    return BadRequest(
+        "invalid_deadline",
+        fmt::format("Deadline-Ms: expected an integer from 1 to {}", limits.max_deadline.count()));
   }
   return std::chrono::milliseconds(*ms);
 }
@@ -157,15 +158,17 @@
   if (const auto tokens = json.find("max_tokens"); tokens != json.end() && !tokens->is_null()) {
     if (!tokens->is_number_unsigned() || tokens->get<std::uint64_t>() < 1 ||
         tokens->get<std::uint64_t>() > limits.max_tokens) {
-      return BadRequest("invalid_max_tokens",
-                        fmt::format("max_tokens: expected an integer from 1 to {}", limits.max_tokens));
+      return BadRequest(
+          "invalid_max_tokens",
+          fmt::format("max_tokens: expected an integer from 1 to {}", limits.max_tokens));
     }
     body.max_tokens = tokens->get<std::uint32_t>();
   }
   if (const auto adapter = json.find("adapter"); adapter != json.end() && !adapter->is_null()) {
     if (!adapter->is_string() || adapter->get_ref<const std::string&>().size() > kMaxAdapterBytes) {
-      return BadRequest("invalid_adapter",
-                        fmt::format("adapter: expected a string of at most {} bytes", kMaxAdapterBytes));
+      return BadRequest(
+          "invalid_adapter",
+          fmt::format("adapter: expected a string of at most {} bytes", kMaxAdapterBytes));
     }
     body.adapter = adapter->get<std::string>();
   }
@@ -266,8 +269,7 @@
     return resume.error();
   }
   request.resume = std::move(resume).value();
-  nlohmann::json upstream_body = {
-      {"model", body.model}, {"prompt", body.prompt}, {"stream", true}};
+  nlohmann::json upstream_body = {{"model", body.model}, {"prompt", body.prompt}, {"stream", true}};
   if (body.max_tokens > 0) {
     upstream_body["max_tokens"] = body.max_tokens;
   }
@@ -319,8 +321,9 @@
   facts.deadline = time.now + deadline.value();
   facts.whole_answer = true;
   facts.repeatable = std::ranges::find(kWritingMethods, raw.method) == kWritingMethods.end() ||
-                     std::ranges::none_of(service->unrepeatable_paths,
-                                          [&](const std::string& p) { return path.starts_with(p); });
+                     std::ranges::none_of(service->unrepeatable_paths, [&](const std::string& p) {
+                       return path.starts_with(p);
+                     });
   facts.idempotency_key = raw.idempotency_key.value_or("");
   if (!facts.repeatable && !raw.idempotency_key) {
     return BadRequest("missing_idempotency_key",
--- a/src/net/core_thread.cc
+++ b/src/net/core_thread.cc
@@ -39,10 +39,13 @@
         callers_dropped(counters.Counter("tarragon_callers_dropped_total")),
         ring_full(counters.Counter("tarragon_core_ring_full_total")),
         open_gauge(counters.Gauge("tarragon_open_requests")),
-        links(core.upstream,
-              [this](decision::event&& what) { ring.Push({std::move(what), nullptr}); },
-              source,
-              counters) {}
+        links(
+            core.upstream,
+            [this](decision::event&& what) {
+              ring.Push({std::move(what), nullptr});
+            },
+            source,
+            counters) {}
 
   struct open_entry {
     open_request_ptr request;
--- a/src/net/entry_process.cc
+++ b/src/net/entry_process.cc
@@ -10,9 +10,9 @@
 #include "tarragon/base/hash.h"
 #include "tarragon/base/log.h"
 #include "tarragon/base/metrics.h"
+#include "tarragon/document/document_replica.h"
 #include "tarragon/net/caller_api.h"
 #include "tarragon/net/core_thread.h"
-#include "tarragon/net/document_holder.h"
 #include "tarragon/net/load_poller.h"
 #include "tarragon/net/socket_address.h"
 
@@ -100,7 +100,13 @@
         server(ServerOptions(settings),
                [this](const httplib::Request& request, httplib::Response& response) {
                  Route(request, response);
-               }) {}
+               }) {
+    documents.AddListener([this](const document::document_ptr& next) {
+      LogEvent("document_changed", {{"version", next->version()}});
+      counters.Gauge("tarragon_document_version").Set(static_cast<std::int64_t>(next->version()));
+      core.Post(decision::document_changed{next});
+    });
+  }
 
   void Route(const httplib::Request& request, httplib::Response& response) {
     if (request.path == "/healthz") {
@@ -138,7 +144,7 @@
       response.set_content(error.Body(), "application/json");
       return;
     }
-    const document::document_ptr document = documents.Get();
+    const document::document_ptr document = documents.Current();
     response.set_content(nlohmann::json{{"vm", settings.vm_name},
                                         {"failure_domain", settings.failure_domain},
                                         {"ready", ready()},
@@ -151,12 +157,12 @@
                          "application/json");
   }
 
-  bool ready() const { return !draining && documents.Get() != nullptr; }
+  bool ready() const { return !draining && documents.Current() != nullptr; }
 
   const settings::entry_settings settings;
   const clock& time;
   metrics counters;
-  document_holder documents;
+  document::document_replica documents;
   std::atomic<bool> draining{false};
   std::atomic<bool> started{false};
   core_thread core;
@@ -190,12 +196,7 @@
 }
 
 void entry_process::ChangeDocument(document::document_ptr next) {
-  if (state_->documents.Advance(next)) {
-    LogEvent("document_changed", {{"version", next->version()}});
-    state_->counters.Gauge("tarragon_document_version")
-        .Set(static_cast<std::int64_t>(next->version()));
-    state_->core.Post(decision::document_changed{std::move(next)});
-  }
+  state_->documents.Offer(state_->time.Now(), next);
 }
 
 int entry_process::callers_port() const {
--- a/src/net/http_error.cc
+++ b/src/net/http_error.cc
@@ -58,8 +58,7 @@
 }  // namespace
 
 std::string http_error::Body() const {
-  return nlohmann::json{
-      {"error", {{"type", Type(status)}, {"code", code}, {"message", message}}}}
+  return nlohmann::json{{"error", {{"type", Type(status)}, {"code", code}, {"message", message}}}}
       .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -74,7 +73,8 @@
 }
 
 std::string RetryAfterSeconds(std::chrono::milliseconds wait) {
-  return fmt::to_string(std::max<std::int64_t>(std::chrono::ceil<std::chrono::seconds>(wait).count(), 1));
+  return fmt::to_string(
+      std::max<std::int64_t>(std::chrono::ceil<std::chrono::seconds>(wait).count(), 1));
 }
 
 }  // namespace tarragon::net
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -26,6 +26,7 @@
 using steady = std::chrono::steady_clock;
 
 constexpr int kListenBacklog = 1024;
+constexpr std::size_t kMaxRequestsPerConnection = 1'000'000;
 constexpr std::size_t kReadBufferBytes = 4096;
 // A waiting connection looks this often whether the server stops.
 constexpr std::chrono::milliseconds kIdlePollInterval{50};
@@ -52,8 +53,7 @@
 
 class connection final : public httplib::Stream, public http_connection {
  public:
-  connection(int socket, const http_server_options& options)
-      : socket_(socket), options_(options) {}
+  connection(int socket, const http_server_options& options) : socket_(socket), options_(options) {}
 
   /** Starts the limits of the next request. */
   void BeginRequest() {
@@ -100,8 +100,7 @@
   ssize_t write(const char* data, std::size_t size) override {
     std::size_t sent = 0;
     while (sent < size) {
-      const ssize_t count =
-          ::send(socket_, data + sent, size - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+      const ssize_t count = ::send(socket_, data + sent, size - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
       if (count > 0) {
         sent += static_cast<std::size_t>(count);
       } else if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
@@ -218,7 +217,8 @@
 void FillLibraryError(httplib::Response& response) {
   const auto& here = static_cast<connection&>(http_connection::Current());
   if (here.timed_out()) {
-    SetError(response, kHttpRequestTimeout, "request_timeout", "the request did not arrive in time");
+    SetError(response, kHttpRequestTimeout, "request_timeout",
+             "the request did not arrive in time");
   } else if (here.headers_too_large()) {
     SetError(response, kHttpHeadersTooLarge, "headers_too_large", "the headers are too large");
   } else if (response.status == kHttpTooLarge) {
@@ -241,7 +241,7 @@
     : options_(options), threads_(options.max_connections) {
   new_task_queue = [this] { return new task_queue(threads_); };
   set_payload_max_length(options_.max_body_bytes);
-  set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
+  set_keep_alive_max_count(kMaxRequestsPerConnection);
   set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
     return CheckBeforeBody(request, response);
   });
@@ -304,7 +304,8 @@
   // A request whose end two parsers could see at different places is refused.
   if (lengths + encodings != 1 ||
       (encodings == 1 && request.get_header_value("Transfer-Encoding") != "chunked")) {
-    return reject(kHttpBadRequest, "bad_framing", "expected one Content-Length or chunked encoding");
+    return reject(kHttpBadRequest, "bad_framing",
+                  "expected one Content-Length or chunked encoding");
   }
   if (lengths == 1) {
     const std::string text = request.get_header_value("Content-Length");
@@ -338,17 +339,15 @@
     }
     here.BeginRequest();
     bool closed_by_request = false;
-    const bool answered =
-        process_request(here, /*close_connection=*/false, closed_by_request,
-                        [&here](httplib::Request& request) {
-                          here.EndHeaders();
-                          // Without either header a request has no body; the library would read
-                          // until the connection ends.
-                          if (!request.has_header("Content-Length") &&
-                              !request.has_header("Transfer-Encoding")) {
-                            request.headers.emplace("Content-Length", "0");
-                          }
-                        });
+    const bool answered = process_request(
+        here, /*close_connection=*/false, closed_by_request, [&here](httplib::Request& request) {
+          here.EndHeaders();
+          // Without either header a request has no body; the library would read
+          // until the connection ends.
+          if (!request.has_header("Content-Length") && !request.has_header("Transfer-Encoding")) {
+            request.headers.emplace("Content-Length", "0");
+          }
+        });
     open = answered && !closed_by_request && !here.closes() && !here.in_headers();
   }
   current_connection = nullptr;
--- a/src/net/load_poller.cc
+++ b/src/net/load_poller.cc
@@ -12,7 +12,7 @@
 
 #include "net/http_library.h"
 #include "tarragon/base/metrics.h"
-#include "tarragon/net/document_holder.h"
+#include "tarragon/document/document_replica.h"
 #include "tarragon/net/socket_address.h"
 
 namespace tarragon::net {
@@ -50,7 +50,7 @@
 
 struct load_poller::state {
   state(load_poller_options poll_options,
-        const document_holder& holder,
+        const document::document_replica& holder,
         report_sink report_target,
         const clock& source,
         metrics& counters)
@@ -65,7 +65,7 @@
   void Run() {
     std::size_t next = 0;
     while (true) {
-      const document::document_ptr document = documents.Get();
+      const document::document_ptr document = documents.Current();
       const std::size_t count = document ? document->contents().endpoints.size() : 0;
       {
         std::unique_lock lock(mutex);
@@ -113,7 +113,7 @@
   }
 
   const load_poller_options options;
-  const document_holder& documents;
+  const document::document_replica& documents;
   const report_sink sink;
   const clock& time;
   counter& polls;
@@ -127,7 +127,7 @@
 };
 
 load_poller::load_poller(load_poller_options options,
-                         const document_holder& documents,
+                         const document::document_replica& documents,
                          report_sink sink,
                          const clock& time,
                          metrics& counters)
--- a/src/net/upstream.cc
+++ b/src/net/upstream.cc
@@ -257,7 +257,9 @@
   }
 
   /** Reports an answer other than 200 to a send. */
-  void ReportStatus(attempt_id attempt, const httplib::Response& response, const std::string& body) {
+  void ReportStatus(attempt_id attempt,
+                    const httplib::Response& response,
+                    const std::string& body) {
     const endpoint_error error = ParseError(body);
     if (response.status == kHttpTooManyRequests && error.code == "declined") {
       sink(decision::attempt_declined{attempt, RetryAfter(response), false, error.message});
@@ -374,26 +376,25 @@
                     std::string address) {
   auto link = state_->Register(send.attempt);
   state_->opened.Add();
-  const bool started = state_->threads.TryRun(
-      [state = state_.get(), request = std::move(request), send, address = std::move(address),
-       link] {
-        httplib::Request http;
-        http.method = request->call.method;
-        http.path = request->call.target;
-        if (!request->call.content_type.empty()) {
-          http.headers.emplace("Content-Type", request->call.content_type);
-        }
-        if (request->facts.kind == decision::request_kind::kGeneration) {
-          http.headers.emplace("X-Request-Id", send.generation);
-          http.body = fmt::format("{},\"priority\":{}}}", request->call.body, send.priority);
-          state->RunGeneration(send.attempt, send.generation, 0, /*resumes=*/false, address, link,
-                               http);
-        } else {
-          http.body = request->call.body;
-          state->RunServiceCall(send.attempt, *request, address, link, http);
-        }
-        state->Forget(send.attempt, link);
-      });
+  const bool started = state_->threads.TryRun([state = state_.get(), request = std::move(request),
+                                               send, address = std::move(address), link] {
+    httplib::Request http;
+    http.method = request->call.method;
+    http.path = request->call.target;
+    if (!request->call.content_type.empty()) {
+      http.headers.emplace("Content-Type", request->call.content_type);
+    }
+    if (request->facts.kind == decision::request_kind::kGeneration) {
+      http.headers.emplace("X-Request-Id", send.generation);
+      http.body = fmt::format("{},\"priority\":{}}}", request->call.body, send.priority);
+      state->RunGeneration(send.attempt, send.generation, 0, /*resumes=*/false, address, link,
+                           http);
+    } else {
+      http.body = request->call.body;
+      state->RunServiceCall(send.attempt, *request, address, link, http);
+    }
+    state->Forget(send.attempt, link);
+  });
   if (!started) {
     state_->Forget(send.attempt, link);
   }
@@ -402,16 +403,16 @@
 
 bool upstream::Resume(const decision::resume_attempt& resume, std::string address) {
   auto link = state_->Register(resume.attempt);
-  const bool started = state_->threads.TryRun([state = state_.get(), resume,
-                                               address = std::move(address), link] {
-    httplib::Request http;
-    http.method = "GET";
-    http.path =
-        fmt::format("/v1/generations/{}/events?from={}", resume.generation, resume.from_index);
-    state->RunGeneration(resume.attempt, resume.generation, resume.from_index, /*resumes=*/true,
-                         address, link, http);
-    state->Forget(resume.attempt, link);
-  });
+  const bool started =
+      state_->threads.TryRun([state = state_.get(), resume, address = std::move(address), link] {
+        httplib::Request http;
+        http.method = "GET";
+        http.path =
+            fmt::format("/v1/generations/{}/events?from={}", resume.generation, resume.from_index);
+        state->RunGeneration(resume.attempt, resume.generation, resume.from_index, /*resumes=*/true,
+                             address, link, http);
+        state->Forget(resume.attempt, link);
+      });
   if (!started) {
     state_->Forget(resume.attempt, link);
   }
--- a/src/settings/entry_settings.cc
+++ b/src/settings/entry_settings.cc
@@ -140,8 +140,9 @@
   document.ReportUnknownKeys();
   if (settings.platform_address.empty() && settings.document_directory.empty() &&
       settings.peer_address.empty()) {
-    platform.Fault("address", "missing; expected a source of the operating document: "
-                              "platform.address, document.directory or listen.peer");
+    platform.Fault("address",
+                   "missing; expected a source of the operating document: "
+                   "platform.address, document.directory or listen.peer");
   }
 
   settings_table peers = child("peers");
--- a/src/settings/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -27,12 +27,10 @@
   }
   const std::string ip(text.substr(0, colon));
   const bool bracketed = ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
-  const bool valid_ip =
-      bracketed ? IsIp(ip.substr(1, ip.size() - 2), AF_INET6) : IsIp(ip, AF_INET);
+  const bool valid_ip = bracketed ? IsIp(ip.substr(1, ip.size() - 2), AF_INET6) : IsIp(ip, AF_INET);
   const std::string_view port_text = text.substr(colon + 1);
   std::uint16_t port = 0;
-  const auto parsed =
-      std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
+  const auto parsed = std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
   return valid_ip && parsed.ec == std::errc() && parsed.ptr == port_text.data() + port_text.size();
 }
 
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -50,7 +50,10 @@
   void AddressList(std::string_view key, std::vector<std::string>& value);
   void StringList(std::string_view key, std::vector<std::string>& value);
   void Bool(std::string_view key, bool& value);
-  void Integer(std::string_view key, std::int64_t lowest, std::int64_t highest, std::int64_t& value);
+  void Integer(std::string_view key,
+               std::int64_t lowest,
+               std::int64_t highest,
+               std::int64_t& value);
   void Milliseconds(std::string_view key,
                     std::int64_t lowest,
                     std::int64_t highest,
