--- /dev/null
+++ b/tests/net/caller_request_test.cc
@@ -0,0 +1,230 @@
+#include "tarragon/net/caller_request.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+#include "tarragon/base/hash.h"
+#include "tarragon/net/resumption_ticket.h"
+
+namespace tarragon::net {
+namespace {
+
+constexpr std::string_view kKey = "0123456789abcdef0123456789abcdef";
+constexpr std::string_view kBody = R"({"model":"drafter","prompt":"two hulls","stream":true})";
+
+document::document_ptr Document() {
+  document::document_contents contents;
+  contents.models.emplace_back().name = "drafter";
+  contents.accounts.resize(2);
+  contents.accounts[0].name = "keelung";
+  contents.accounts[0].token_sha256 = Sha256Hex("t1");
+  contents.accounts[1].name = "tainan";
+  contents.accounts[1].token_sha256 = Sha256Hex("t2");
+  contents.classes.emplace_back().name = "lookup";
+  contents.classes.emplace_back().name = "report";
+  document::service_settings& model = contents.services.emplace_back();
+  model.name = model.model = "drafter";
+  model.default_class = "lookup";
+  document::service_settings& plain = contents.services.emplace_back();
+  plain.name = "booking";
+  plain.kind = document::service_kind::kPlain;
+  plain.default_class = "lookup";
+  plain.unrepeatable_paths = {"/bookings/confirm"};
+  return document::operating_document::MakeForTesting(1, contents);
+}
+
+reading_time Now() {
+  return {.now = time_point(std::chrono::seconds(5)),
+          .wall = wall_time_point(std::chrono::hours(1000))};
+}
+
+raw_request Generation(std::string body = std::string(kBody)) {
+  raw_request raw;
+  raw.method = "POST";
+  raw.path = raw.target = "/v1/completions";
+  raw.body = std::move(body);
+  raw.authorization = "Bearer t1";
+  return raw;
+}
+
+raw_request Call(std::string method, const std::string& path) {
+  raw_request raw;
+  raw.method = std::move(method);
+  raw.path = raw.target = path;
+  raw.authorization = "Bearer t1";
+  return raw;
+}
+
+request_result<caller_request> Read(const raw_request& raw) {
+  return ReadCallerRequest(raw, *Document(), {}, kKey, Now());
+}
+
+std::string CodeOf(const raw_request& raw) {
+  const auto read = Read(raw);
+  if (read) {
+    return "accepted";
+  }
+  EXPECT_EQ(read.error().verdict, run_verdict::kNotRun);
+  EXPECT_GE(read.error().status, 400);
+  EXPECT_LT(read.error().status, 500);
+  return read.error().code;
+}
+
+// Guards against a field of the body that is dropped on the way to the endpoint.
+TEST(CallerRequest, ReadsAGeneration) {
+  raw_request raw = Generation(
+      R"({"model":"drafter","prompt":"abcdefgh","stream":true,"max_tokens":9,"adapter":"q"})");
+  raw.request_class = "report";
+  raw.deadline_ms = "250";
+  const auto read = Read(raw);
+  ASSERT_TRUE(read);
+  const caller_request& request = read.value();
+  EXPECT_TRUE(request.stream);
+  EXPECT_EQ(request.facts.account, "keelung");
+  EXPECT_EQ(request.facts.request_class, "report");
+  EXPECT_EQ(request.facts.max_tokens, 9U);
+  EXPECT_EQ(request.facts.deadline, Now().now + std::chrono::milliseconds(250));
+  EXPECT_FALSE(request.facts.whole_answer);
+  EXPECT_EQ(request.call.body,
+            R"({"adapter":"q","max_tokens":9,"model":"drafter","prompt":"abcdefgh","stream":true)");
+}
+
+// Guards against bad input that reaches an endpoint or is answered with the wrong reason.
+TEST(CallerRequest, RefusesBadInput) {
+  raw_request raw = Generation();
+  raw.authorization.reset();
+  EXPECT_EQ(CodeOf(raw), "invalid_api_key");
+  raw.authorization = "Bearer ";
+  EXPECT_EQ(CodeOf(raw), "invalid_api_key");
+  raw.authorization = "Basic t1";
+  EXPECT_EQ(CodeOf(raw), "invalid_api_key");
+  for (const char* deadline : {"", "0", "-1", "1.5", "5s", " 5", "99999999999", "9e9"}) {
+    raw = Generation();
+    raw.deadline_ms = deadline;
+    EXPECT_EQ(CodeOf(raw), "invalid_deadline") << deadline;
+  }
+  raw = Generation();
+  raw.request_class = "none";
+  EXPECT_EQ(CodeOf(raw), "unknown_class");
+  raw = Generation();
+  raw.idempotency_key = "a/b";
+  EXPECT_EQ(CodeOf(raw), "invalid_idempotency_key");
+  raw = Generation();
+  raw.last_event_id = "g:1";
+  EXPECT_EQ(CodeOf(raw), "missing_ticket");
+}
+
+struct bad_body {
+  const char* body;
+  const char* code;
+};
+
+// Guards against a body of the wrong form or type.
+TEST(CallerRequest, RefusesBadBodies) {
+  for (const bad_body& bad : {
+           bad_body{"", "invalid_json"},
+           bad_body{"{", "invalid_json"},
+           bad_body{"[1]", "invalid_json"},
+           bad_body{"{}", "invalid_model"},
+           bad_body{R"({"model":1,"prompt":"a"})", "invalid_model"},
+           bad_body{R"({"model":"none","prompt":"a"})", "model_not_found"},
+           bad_body{R"({"model":"drafter"})", "invalid_prompt"},
+           bad_body{R"({"model":"drafter","prompt":["a"]})", "invalid_prompt"},
+           bad_body{R"({"model":"drafter","prompt":""})", "invalid_prompt"},
+           bad_body{R"({"model":"drafter","prompt":"a","stream":"yes"})", "invalid_stream"},
+           bad_body{R"({"model":"drafter","prompt":"a","max_tokens":0})", "invalid_max_tokens"},
+           bad_body{R"({"model":"drafter","prompt":"a","max_tokens":-1})", "invalid_max_tokens"},
+           bad_body{R"({"model":"drafter","prompt":"a","max_tokens":1.5})", "invalid_max_tokens"},
+           bad_body{R"({"model":"drafter","prompt":"a","max_tokens":1e99})", "invalid_max_tokens"},
+           bad_body{R"({"model":"drafter","prompt":"a","adapter":7})", "invalid_adapter"},
+       }) {
+    EXPECT_EQ(CodeOf(Generation(bad.body)), bad.code) << bad.body;
+  }
+  raw_request chat = Generation(R"({"model":"drafter","messages":[{"role":"user"}]})");
+  chat.path = "/v1/chat/completions";
+  EXPECT_EQ(CodeOf(chat), "invalid_messages");
+}
+
+// Guards against a second execution of an unrepeatable call, by a missing key or by a path that the
+// service reads in another way than the check.
+TEST(CallerRequest, FindsUnrepeatableCalls) {
+  EXPECT_EQ(CodeOf(Call("POST", "/services/booking/bookings/confirm")), "missing_idempotency_key");
+  EXPECT_EQ(CodeOf(Call("POST", "/services/booking//bookings/confirm")), "invalid_path");
+  EXPECT_EQ(CodeOf(Call("POST", "/services/booking/a/../bookings/confirm")), "invalid_path");
+  EXPECT_EQ(CodeOf(Call("POST", "/services/booking/./bookings/confirm")), "invalid_path");
+  raw_request encoded = Call("POST", "/services/booking/bookings/confirm");
+  encoded.target = "/services/booking/bookings%2Fconfirm";
+  EXPECT_EQ(CodeOf(encoded), "missing_idempotency_key");
+  raw_request hidden_name = Call("POST", "/services/booking/bookings/confirm");
+  hidden_name.target = "/services/b%6Foking/bookings/confirm";
+  EXPECT_EQ(CodeOf(hidden_name), "invalid_path");
+  EXPECT_TRUE(Read(Call("GET", "/services/booking/bookings/confirm")).value().facts.repeatable);
+  raw_request keyed = Call("POST", "/services/booking/bookings/confirm");
+  keyed.idempotency_key = "k1";
+  EXPECT_FALSE(Read(keyed).value().facts.repeatable);
+  EXPECT_EQ(CodeOf(Call("GET", "/services/drafter/x")), "service_not_found");
+}
+
+// Guards against a query that is lost on the way to the service.
+TEST(CallerRequest, KeepsTheQuery) {
+  raw_request raw = Call("GET", "/services/booking/slots");
+  raw.target = "/services/booking/slots?day=1&x=%20";
+  EXPECT_EQ(Read(raw).value().call.target, "/slots?day=1&x=%20");
+}
+
+std::string TicketFor(const caller_request& request) {
+  return resumption_ticket({.request = {1},
+                            .account = request.facts.account,
+                            .endpoint = "e1",
+                            .generation = "g1",
+                            .request_class = request.facts.request_class,
+                            .content = request.facts.content,
+                            .issued = Now().wall})
+      .Sign(kKey);
+}
+
+// Guards against a caller who attaches to the generation of another account or request.
+TEST(CallerRequest, BindsATicketToItsRequest) {
+  raw_request raw = Generation();
+  raw.resumption_ticket = TicketFor(Read(raw).value());
+  raw.last_event_id = "g1:41";
+  const auto resumed = Read(raw);
+  ASSERT_TRUE(resumed);
+  EXPECT_EQ(resumed.value().resume->next_index, 42U);
+  EXPECT_EQ(resumed.value().resume->endpoint, "e1");
+
+  raw_request other = raw;
+  other.authorization = "Bearer t2";
+  EXPECT_EQ(CodeOf(other), "invalid_ticket");
+  other = raw;
+  other.request_class = "report";
+  EXPECT_EQ(CodeOf(other), "invalid_ticket");
+  other = raw;
+  other.body = R"({"model":"drafter","prompt":"three hulls","stream":true})";
+  EXPECT_EQ(CodeOf(other), "invalid_ticket");
+  for (const char* id : {"g2:1", "g1", "g1:", ":1", "g1:-1", "g1:x", "g1:4294967295"}) {
+    other = raw;
+    other.last_event_id = id;
+    EXPECT_EQ(CodeOf(other), "invalid_event_id") << id;
+  }
+}
+
+// Guards against a fault or an acceptance on bodies that are near to valid ones.
+RC_GTEST_PROP(CallerRequest, TakesAnyBody, ()) {
+  std::string body(kBody);
+  const auto changes = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+      rc::gen::pair(rc::gen::inRange<std::size_t>(0, kBody.size()), rc::gen::arbitrary<char>()));
+  for (const auto& [place, value] : changes) {
+    body[place] = value;
+  }
+  const auto read = Read(Generation(body));
+  if (!read) {
+    RC_ASSERT(read.error().status >= 400);
+    RC_ASSERT(read.error().status < 500);
+  }
+}
+
+}  // namespace
+}  // namespace tarragon::net
--- /dev/null
+++ b/tests/net/upstream_test.cc
@@ -0,0 +1,296 @@
+#include "tarragon/net/upstream.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/raw_server.h"
+#include "tarragon/base/bounded_ring.h"
+#include "tarragon/base/metrics.h"
+#include "tarragon/base/real_clock.h"
+
+namespace tarragon::net {
+namespace {
+
+constexpr attempt_id kAttempt{5};
+constexpr std::chrono::seconds kWait{20};
+const std::string kGeneration = "0123456789abcdef0123456789abcdef";
+
+/** Upstream connections with short time-outs and a ring that takes their events. */
+struct fixture {
+  explicit fixture(raw_server::handler handle) : server(std::move(handle)) {}
+
+  static upstream_options Options() {
+    upstream_options options;
+    options.silence_timeout = std::chrono::milliseconds(200);
+    options.max_attempts = 4;
+    return options;
+  }
+
+  static open_request_ptr Request(decision::request_kind kind) {
+    decision::request_facts facts;
+    facts.request = {1};
+    facts.kind = kind;
+    facts.deadline = real_clock().Now() + std::chrono::seconds(5);
+    const bool generation = kind == decision::request_kind::kGeneration;
+    return std::make_shared<open_request>(
+        std::move(facts),
+        upstream_call{.method = "POST",
+                      .target = generation ? "/v1/completions" : "/bookings/confirm",
+                      .content_type = "application/json",
+                      .body = generation ? R"({"prompt":"x")" : R"({"slot":1})"},
+        1000);
+  }
+
+  void Send(decision::request_kind kind = decision::request_kind::kGeneration) {
+    EXPECT_TRUE(links.Send(Request(kind), SendAction(kind), server.address()));
+  }
+
+  static decision::send_attempt SendAction(decision::request_kind kind) {
+    return {.request = {1},
+            .attempt = kAttempt,
+            .endpoint = "e",
+            .generation = kind == decision::request_kind::kGeneration ? kGeneration : "",
+            .priority = 3};
+  }
+
+  template <typename T>
+  T Next() {
+    auto event = events.Pop(kWait);
+    if (!event || !std::holds_alternative<T>(*event)) {
+      ADD_FAILURE() << "another event: " << (event ? static_cast<int>(event->index()) : -1);
+      return {};
+    }
+    return std::get<T>(*std::move(event));
+  }
+
+  void ExpectFailure(run_verdict verdict, decision::failure_cause cause) {
+    const auto failed = Next<decision::attempt_failed>();
+    EXPECT_EQ(failed.attempt, kAttempt);
+    EXPECT_EQ(failed.verdict, verdict);
+    EXPECT_EQ(failed.cause, cause);
+    ExpectNothingMore();
+  }
+
+  void ExpectNothingMore() {
+    links.Stop();
+    EXPECT_EQ(events.Size(), 0U);
+  }
+
+  raw_server server;
+  real_clock time;
+  metrics counters;
+  bounded_ring<decision::event> events{10'000};
+  upstream links{Options(), [this](decision::event&& what) { events.Push(std::move(what)); }, time,
+                 counters};
+};
+
+std::string HttpAnswer(int status, std::string_view body) {
+  return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{}", status,
+                     body.size(), body);
+}
+
+// Guards against a request that was never sent but is reported as possibly run.
+TEST(Upstream, RefusedConnectionIsNotRun) {
+  fixture f([](const std::string&, raw_connection&) {});
+  EXPECT_TRUE(f.links.Send(f.Request(decision::request_kind::kGeneration),
+                           f.SendAction(decision::request_kind::kGeneration),
+                           fmt::format("127.0.0.1:{}", ClosedPort())));
+  f.ExpectFailure(run_verdict::kNotRun, decision::failure_cause::kConnectFailed);
+}
+
+// Guards against `not-run` after the request's bytes may have reached the endpoint.
+TEST(Upstream, ClosedConnectionMayHaveRun) {
+  for (const auto kind :
+       {decision::request_kind::kGeneration, decision::request_kind::kServiceCall}) {
+    fixture f([](const std::string&, raw_connection&) {});
+    f.Send(kind);
+    f.ExpectFailure(run_verdict::kMayHaveRun, decision::failure_cause::kConnectionLost);
+    EXPECT_EQ(f.server.connections(), 1) << "the call was sent again";
+  }
+}
+
+// Guards against `not-run` for an endpoint that answers, but not with the protocol.
+TEST(Upstream, OtherAnswersMayHaveRun) {
+  for (const std::string& answer :
+       {HttpAnswer(500, "oops"), HttpAnswer(429, "slow down"), HttpAnswer(503, "{}"),
+        HttpAnswer(409, R"({"error":{"code":"duplicate_generation"}})")}) {
+    fixture f([&](const std::string&, raw_connection& c) { c.Write(answer); });
+    f.Send();
+    f.ExpectFailure(run_verdict::kMayHaveRun, decision::failure_cause::kBadAnswer);
+  }
+  fixture f([](const std::string&, raw_connection& c) { c.Write("not http at all\r\n\r\n"); });
+  f.Send();
+  f.ExpectFailure(run_verdict::kMayHaveRun, decision::failure_cause::kConnectionLost);
+}
+
+// Guards against an endpoint's own refusal that is taken for a failure.
+TEST(Upstream, DeclinedAndRefused) {
+  fixture declining([](const std::string&, raw_connection& c) {
+    c.Write(
+        "HTTP/1.1 429 X\r\nRetry-After: 2\r\nContent-Length: 31\r\n\r\n"
+        R"({"error":{"code":"declined"}}  )");
+  });
+  declining.Send();
+  const auto declined = declining.Next<decision::attempt_declined>();
+  EXPECT_FALSE(declined.permanent);
+  EXPECT_EQ(declined.retry_after, std::chrono::seconds(2));
+  declining.ExpectNothingMore();
+
+  fixture refusing([](const std::string&, raw_connection& c) {
+    c.Write(HttpAnswer(422, R"({"error":{"code":"x","message":"too long"}})"));
+  });
+  refusing.Send();
+  const auto refused = refusing.Next<decision::attempt_declined>();
+  EXPECT_TRUE(refused.permanent);
+  EXPECT_EQ(refused.message, "too long");
+}
+
+// Guards against a token lost, doubled or given another index.
+TEST(Upstream, ReadsAWholeGeneration) {
+  std::string seen;
+  fixture f([&](const std::string& request, raw_connection& c) {
+    seen = request;
+    c.Write(kStreamHeader);
+    c.Write(TokenEvent(0, "a") + ": keep-alive\n\n" + TokenEvent(1, "b"));
+    c.Write("data: {\"choices\":[{\"text\":\"\",\"index\":0,\"finish_reason\":\"stop\"}]}\n\n");
+    c.Write(kDoneEvent);
+  });
+  f.Send();
+  f.Next<decision::attempt_accepted>();
+  const auto first = f.Next<decision::token_received>();
+  EXPECT_EQ(first.index, 0U);
+  EXPECT_EQ(first.text, "a");
+  EXPECT_EQ(first.generation, kGeneration);
+  EXPECT_EQ(f.Next<decision::token_received>().index, 1U);
+  const auto finished = f.Next<decision::attempt_finished>();
+  EXPECT_EQ(finished.token_count, 2U);
+  EXPECT_EQ(finished.finish_reason, "stop");
+  f.ExpectNothingMore();
+  EXPECT_NE(seen.find("X-Request-Id: " + kGeneration), std::string::npos);
+  EXPECT_NE(seen.find(R"({"prompt":"x","priority":3})"), std::string::npos);
+}
+
+// Guards against a cut stream that is taken for a finished one.
+TEST(Upstream, CutStreamIsLost) {
+  fixture f([](const std::string&, raw_connection& c) {
+    c.Write(kStreamHeader);
+    c.Write(TokenEvent(0, "a") + "id: 1\ndata: {\"choi");
+  });
+  f.Send();
+  f.Next<decision::attempt_accepted>();
+  f.Next<decision::token_received>();
+  f.ExpectFailure(run_verdict::kMayHaveRun, decision::failure_cause::kConnectionLost);
+}
+
+// Guards against waiting for ever on a connection that went silent but stays open.
+TEST(Upstream, SilentConnection) {
+  fixture f([](const std::string&, raw_connection& c) {
+    c.Write(kStreamHeader);
+    c.Write(TokenEvent(0, "a"));
+    c.WaitForClose();
+  });
+  f.Send();
+  f.Next<decision::attempt_accepted>();
+  f.Next<decision::token_received>();
+  f.ExpectFailure(run_verdict::kMayHaveRun, decision::failure_cause::kSilent);
+}
+
+// Guards against a lost generation that is resumed for ever.
+TEST(Upstream, ResumesAndReportsUnknownGenerations) {
+  std::string seen;
+  fixture f([&](const std::string& request, raw_connection& c) {
+    seen = request;
+    c.Write(HttpAnswer(404, "{}"));
+  });
+  EXPECT_TRUE(f.links.Resume({.request = {1},
+                              .attempt = kAttempt,
+                              .endpoint = "e",
+                              .generation = kGeneration,
+                              .from_index = 7},
+                             f.server.address()));
+  f.ExpectFailure(run_verdict::kMayHaveRun, decision::failure_cause::kGenerationUnknown);
+  EXPECT_TRUE(seen.starts_with("GET /v1/generations/" + kGeneration + "/events?from=7 "));
+}
+
+// Guards against events of an attempt that was closed or cancelled.
+TEST(Upstream, CancelClosesTheConnectionAndReportsTheOutcome) {
+  fixture f([](const std::string& request, raw_connection& c) {
+    if (request.starts_with("DELETE /v1/generations/" + kGeneration + " ")) {
+      c.Write(HttpAnswer(200, "{}"));
+      return;
+    }
+    c.Write(kStreamHeader);
+    c.Write(TokenEvent(0, "a"));
+    c.WaitForClose();
+  });
+  f.Send();
+  f.Next<decision::attempt_accepted>();
+  f.Next<decision::token_received>();
+  EXPECT_TRUE(f.links.Cancel({.attempt = kAttempt, .endpoint = "e", .generation = kGeneration},
+                             f.server.address()));
+  const auto observed = f.Next<decision::cancel_observed>();
+  EXPECT_TRUE(observed.stopped);
+  f.ExpectNothingMore();
+}
+
+// Guards against an attempt that is neither sent nor reported when all threads are busy.
+TEST(Upstream, SaysWhenNoThreadIsFree) {
+  fixture f([](const std::string&, raw_connection& c) {
+    c.Write(kStreamHeader);
+    for (int i = 0; c.Write(": keep-alive\n\n"); ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  });
+  const auto kind = decision::request_kind::kGeneration;
+  for (std::uint64_t i = 0; i < f.Options().max_attempts; ++i) {
+    decision::send_attempt send = f.SendAction(kind);
+    send.attempt = {100 + i};
+    EXPECT_TRUE(f.links.Send(f.Request(kind), send, f.server.address()));
+  }
+  EXPECT_FALSE(f.links.Send(f.Request(kind), f.SendAction(kind), f.server.address()));
+}
+
+bool IsTerminal(const decision::event& event) {
+  return std::holds_alternative<decision::attempt_finished>(event) ||
+         std::holds_alternative<decision::attempt_failed>(event) ||
+         std::holds_alternative<decision::attempt_declined>(event);
+}
+
+// Guards against an attempt without an end, with two ends, or with `not-run` after it was sent,
+// whatever bytes the endpoint answers with.
+RC_GTEST_PROP(Upstream, AnyBytesEndTheAttemptOnce, ()) {
+  const auto garbage = rc::gen::arbitrary<std::string>();
+  const auto piece = rc::gen::oneOf(
+      garbage, rc::gen::element<std::string>(
+                   TokenEvent(0, "a"), TokenEvent(1, "b"), std::string(kDoneEvent), ": c\n\n",
+                   "data: {}\n\n", "id: x\ndata: {\"choices\":[{\"text\":\"a\"}]}\n\n",
+                   "data: {\"choices\":[null]}\n\n", "data: {\"choices\":[{\"text\":5}]}\n\n"));
+  const bool header = *rc::gen::weightedElement<bool>({{4, true}, {1, false}});
+  const auto pieces = *rc::gen::container<std::vector<std::string>>(piece);
+  fixture f([&](const std::string&, raw_connection& c) {
+    c.Write(header ? kStreamHeader : "");
+    for (const std::string& part : pieces) {
+      c.Write(part);
+    }
+  });
+  f.Send();
+  std::optional<decision::event> last;
+  do {
+    last = f.events.Pop(kWait);
+    RC_ASSERT(last.has_value());
+  } while (!IsTerminal(*last));
+  f.links.Stop();
+  RC_ASSERT(f.events.Size() == 0U);
+  if (const auto* failed = std::get_if<decision::attempt_failed>(&*last)) {
+    RC_ASSERT(failed->verdict == run_verdict::kMayHaveRun);
+  }
+}
+
+}  // namespace
+}  // namespace tarragon::net
