--- a/include/tarragon/decision/engine_options.h
+++ b/include/tarragon/decision/engine_options.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace tarragon::decision {
 
@@ -22,6 +23,12 @@
   bool hedge_reads = true;
   bool limit_concurrency = true;
   bool limit_accounts = true;
+  bool demote_long_work = true;
+
+  /** Name of this VM in the document; with more than 64 endpoints it selects the entry's share. */
+  std::string own_vm = {};
+  /** Generations predicted to be at least this long may not take the share for short work. */
+  std::uint32_t long_work_tokens = 1024;
 
   /** Requests that may wait for an endpoint. */
   std::size_t max_queued = 2000;
@@ -36,10 +43,15 @@
   std::chrono::milliseconds return_window{15000};
   /** Pause between two attempts to reach a generation at the same endpoint. */
   std::chrono::milliseconds reconnect_interval{200};
+  /** Pause before a stream from which tokens are missing is read again. */
+  std::chrono::milliseconds gap_delay{20};
   /** New requests avoid an endpoint for this long after a failed connect. */
   std::chrono::milliseconds connect_backoff{500};
   /** Time that a lost or silent generation has to make progress, even past its deadline. */
   std::chrono::milliseconds recovery_timeout{60000};
+  /** Bounds of the `Retry-After` of refusals. */
+  std::chrono::milliseconds min_retry_after{100};
+  std::chrono::milliseconds max_retry_after{30000};
   /** An attempt of which nothing is heard for this long is taken as silent. */
   std::chrono::milliseconds attempt_watchdog{10000};
   /** A slot counts as free this long after a cancel of which no outcome was observed. */
--- a/include/tarragon/decision/event.h
+++ b/include/tarragon/decision/event.h
@@ -195,6 +195,8 @@
 struct suspect_report {
   fingerprint content;
   std::uint8_t deaths = 0;
+  /** Part of `deaths` that a later completion cleared. */
+  std::uint8_t cleared = 0;
 };
 
 /** Counts of one VM, sent to the others by gossip. */
--- a/src/decision/attempt_table.cc
+++ b/src/decision/attempt_table.cc
@@ -8,10 +8,17 @@
 
 namespace tarragon::decision {
 
+void attempt_table::Count(endpoint_counts& counts, const attempt_record& record, int sign) {
+  counts.in_flight += sign;
+  counts.suspects += record.suspect ? sign : 0;
+  counts.long_work += record.long_work ? sign : 0;
+}
+
 attempt_record& attempt_table::Add(attempt_record record) {
-  auto& counts = counts_[record.endpoint];
-  ++counts.in_flight;
-  counts.suspects += record.suspect ? 1 : 0;
+  if (record.index >= counts_.size()) {
+    counts_.resize(record.index + 1);
+  }
+  Count(counts_[record.index], record, 1);
   const attempt_id id = record.id;
   const auto [place, added] = records_.emplace(id, std::move(record));
   TARRAGON_INVARIANT(added, "attempt id used twice");
@@ -31,12 +38,7 @@
 void attempt_table::Remove(attempt_id id) {
   const auto place = records_.find(id);
   TARRAGON_INVARIANT(place != records_.end(), "removed attempt is not listed");
-  const auto counts = counts_.find(place->second.endpoint);
-  --counts->second.in_flight;
-  counts->second.suspects -= place->second.suspect ? 1 : 0;
-  if (counts->second.in_flight == 0) {
-    counts_.erase(counts);
-  }
+  Count(counts_[place->second.index], place->second, -1);
   records_.erase(place);
 }
 
@@ -48,23 +50,15 @@
   return ids;
 }
 
-std::uint32_t attempt_table::InFlight(const endpoint_name& endpoint) const {
-  const auto place = counts_.find(endpoint);
-  return place == counts_.end() ? 0 : place->second.in_flight;
-}
-
-std::uint32_t attempt_table::Suspects(const endpoint_name& endpoint) const {
-  const auto place = counts_.find(endpoint);
-  return place == counts_.end() ? 0 : place->second.suspects;
+attempt_table::endpoint_counts attempt_table::CountsOf(policy::endpoint_index endpoint) const {
+  return endpoint < counts_.size() ? counts_[endpoint] : endpoint_counts{};
 }
 
 void attempt_table::Validate() const {
-  std::unordered_map<endpoint_name, endpoint_counts> counted;
+  std::vector<endpoint_counts> counted(counts_.size());
   for (const auto& [id, record] : records_) {
     TARRAGON_INVARIANT(id == record.id, "attempt listed under another id");
-    auto& counts = counted[record.endpoint];
-    ++counts.in_flight;
-    counts.suspects += record.suspect ? 1 : 0;
+    Count(counted[record.index], record, 1);
   }
   TARRAGON_INVARIANT(counted == counts_, "counts per endpoint differ from the attempts");
 }
--- a/src/decision/attempt_table.h
+++ b/src/decision/attempt_table.h
@@ -10,6 +10,7 @@
 #include "tarragon/base/clock.h"
 #include "tarragon/base/ids.h"
 #include "tarragon/base/run_verdict.h"
+#include "tarragon/policy/endpoint_index.h"
 
 namespace tarragon::decision {
 
@@ -28,13 +29,20 @@
   attempt_id id;
   request_id request;
   endpoint_name endpoint;
+  policy::endpoint_index index = 0;
   generation_id generation;
   attempt_phase phase = attempt_phase::kSent;
   bool is_resume = false;
   /** The endpoint took the generation on this or an earlier connection. */
   bool taken = false;
+  /** Holds the endpoint as the only suspect there. */
   bool suspect = false;
+  bool long_work = false;
   bool has_tokens = false;
+  /** Requests of all entries at the endpoint, this one included. */
+  std::uint32_t in_flight_at_send = 0;
+  std::uint32_t window_tokens = 0;
+  time_point window_start;
   time_point sent_at;
   time_point next_step;
   time_point last_token;
@@ -62,22 +70,23 @@
   /** @return ids in rising order, for iteration that does not depend on hashing. */
   std::vector<attempt_id> SortedIds() const;
 
-  std::uint32_t InFlight(const endpoint_name& endpoint) const;
-  std::uint32_t Suspects(const endpoint_name& endpoint) const;
+  struct endpoint_counts {
+    std::uint32_t in_flight = 0;
+    std::uint32_t suspects = 0;
+    std::uint32_t long_work = 0;
+    bool operator==(const endpoint_counts&) const = default;
+  };
+  endpoint_counts CountsOf(policy::endpoint_index endpoint) const;
   std::size_t size() const { return records_.size(); }
 
   /** Checks the counts per endpoint against the attempts. */
   void Validate() const;
 
  private:
-  struct endpoint_counts {
-    std::uint32_t in_flight = 0;
-    std::uint32_t suspects = 0;
-    bool operator==(const endpoint_counts&) const = default;
-  };
+  static void Count(endpoint_counts& counts, const attempt_record& record, int sign);
 
   std::unordered_map<attempt_id, attempt_record> records_;
-  std::unordered_map<endpoint_name, endpoint_counts> counts_;
+  std::vector<endpoint_counts> counts_;
   std::uint64_t last_id_ = 0;
 };
 
--- a/src/decision/call_handler.cc
+++ b/src/decision/call_handler.cc
@@ -16,6 +16,8 @@
                               const response_received& event) {
   OnAccepted(record, attempt);
   OnLateResponse(attempt, event);
+  core_.policies.OnFirstAnswer(core_.now, record, attempt);
+  core_.policies.OnCompleted(core_.now, record, attempt);
   core_.EndAttempt(record, attempt.id, run_verdict::kRan);
   core_.Emit(deliver_response{record.facts.request, event.status, event.content_type, event.body});
   core_.Finish(record, {.status = event.status});
@@ -35,28 +37,29 @@
     core_.endpoints.ConnectFailed(core_.now, attempt.endpoint, core_.options.loss_timeout,
                                   core_.options.connect_backoff);
   }
+  core_.policies.OnFailure(core_.now, record, attempt);
   const run_verdict verdict = attempt.taken ? run_verdict::kMayHaveRun : event.verdict;
-  record.avoid.push_back(attempt.endpoint);
-  core_.EndAttempt(record, attempt.id, verdict);
-  if (!record.attempts.empty()) {
-    return;
-  }
-  if (record.facts.repeatable || core_.VerdictOf(record) == run_verdict::kNotRun) {
-    queue_.Enqueue(record);
-    return;
-  }
-  core_.Finish(record, {.reason = finish_reason::kLost,
-                        .status = 502,
-                        .message = "the endpoint did not answer the call"});
+  const bool bad = event.cause == failure_cause::kBadAnswer;
+  retries_.OnEnded(record, attempt,
+                   event.cause == failure_cause::kConnectFailed
+                       ? policy::attempt_end::kConnectFailed
+                   : bad ? policy::attempt_end::kBadAnswer
+                         : policy::attempt_end::kConnectionLost,
+                   verdict);
 }
 
 void call_handler::Tick(request_record& record) {
-  if (record.phase == request_phase::kActive && core_.now >= record.deadline) {
+  if (record.phase != request_phase::kActive) {
+    return;
+  }
+  if (core_.now >= record.deadline) {
     core_.Finish(record,
                  {.reason = finish_reason::kDeadline,
                   .status = 504,
                   .message = "the endpoint did not answer before the deadline",
                   .attempts = record.facts.repeatable ? leftover::kCancel : leftover::kOrphan});
+  } else if (core_.options.hedge_reads && record.facts.repeatable && record.attempts.size() == 1) {
+    queue_.TryHedge(record);
   }
 }
 
--- a/src/decision/call_handler.h
+++ b/src/decision/call_handler.h
@@ -3,13 +3,15 @@
 
 #include "decision/dispatcher.h"
 #include "decision/engine_core.h"
+#include "decision/retry_handler.h"
 
 namespace tarragon::decision {
 
 /** Handles attempts at calls to plain services: responses, claims, hedges and retries. */
 class call_handler final {
  public:
-  call_handler(engine_core& core, dispatcher& queue) : core_(core), queue_(queue) {}
+  call_handler(engine_core& core, dispatcher& queue, retry_handler& retries)
+      : core_(core), queue_(queue), retries_(retries) {}
 
   void OnAccepted(request_record& record, attempt_record& attempt);
   void OnResponse(request_record& record, attempt_record& attempt, const response_received& event);
@@ -24,6 +26,7 @@
  private:
   engine_core& core_;
   dispatcher& queue_;
+  retry_handler& retries_;
 };
 
 }  // namespace tarragon::decision
--- a/src/decision/caller_handler.cc
+++ b/src/decision/caller_handler.cc
@@ -30,7 +30,7 @@
                           .retry_after = std::chrono::seconds(1)});
     return;
   }
-  if (core_.requests.size() > core_.options.max_open || queue_.size() >= core_.options.max_queued ||
+  if (core_.requests.size() > core_.options.max_open ||
       (record.held() && core_.held_bytes >= core_.options.max_held_bytes)) {
     core_.Finish(record, {.reason = finish_reason::kQueueFull,
                           .status = 503,
@@ -38,6 +38,9 @@
                           .retry_after = std::chrono::seconds(1)});
     return;
   }
+  if (RefuseByPolicy(record)) {
+    return;
+  }
   if (record.facts.repeatable) {
     queue_.Enqueue(record);
   } else {
@@ -46,8 +49,14 @@
 }
 
 bool caller_handler::ApplyRule(request_record& record) {
-  const auto* service =
-      core_.document ? core_.document->FindService(record.facts.service) : nullptr;
+  if (!core_.document) {
+    core_.Finish(record, {.reason = finish_reason::kNoEndpoint,
+                          .status = 503,
+                          .message = "the entry has no operating document yet",
+                          .retry_after = std::chrono::seconds(1)});
+    return false;
+  }
+  const auto* service = core_.document->FindService(record.facts.service);
   if (service == nullptr) {
     core_.Finish(record,
                  {.reason = finish_reason::kInvalid, .status = 404, .message = "no such service"});
@@ -60,6 +69,9 @@
   if (rule != nullptr) {
     record.rule = *rule;
   }
+  if (const auto* account = core_.document->FindAccount(record.facts.account)) {
+    record.account_weight = account->weight;
+  }
   if (!record.facts.repeatable && record.facts.idempotency_key.empty()) {
     core_.Finish(record, {.reason = finish_reason::kInvalid,
                           .status = 400,
@@ -69,6 +81,26 @@
   return true;
 }
 
+bool caller_handler::RefuseByPolicy(request_record& record) {
+  if (core_.policies.suspects.IsRefused(record.facts.content)) {
+    core_.Finish(record, core_.SuspectEnding(record));
+    return true;
+  }
+  if (!core_.options.limit_accounts) {
+    return false;
+  }
+  const auto answer = core_.policies.accounts.Admit(core_.now, record.account);
+  if (!answer.admitted) {
+    core_.Finish(record, {.reason = finish_reason::kOverLimit,
+                          .status = 429,
+                          .message = "the account is over its rate",
+                          .retry_after = std::max(
+                              std::chrono::ceil<std::chrono::milliseconds>(answer.retry_after),
+                              core_.options.min_retry_after)});
+  }
+  return !answer.admitted;
+}
+
 void caller_handler::AskForClaim(request_record& record) {
   record.phase = request_phase::kClaiming;
   record.claim_token = core_.RandomHex();
@@ -151,11 +183,12 @@
   }
   TakeOver(event);
   request_record& record = core_.OpenResumed(event);
+  // The generation was sent by the entry that issued the ticket, whatever becomes of it here.
+  record.past_verdict = run_verdict::kMayHaveRun;
+  record.accepted_once = true;
   if (!ApplyRule(record)) {
     return;
   }
-  record.past_verdict = run_verdict::kMayHaveRun;
-  record.accepted_once = true;
   if (core_.requests.size() > core_.options.max_open) {
     core_.Finish(record, {.reason = finish_reason::kQueueFull,
                           .status = 503,
--- a/src/decision/caller_handler.h
+++ b/src/decision/caller_handler.h
@@ -34,6 +34,7 @@
 
  private:
   bool ApplyRule(request_record& record);
+  bool RefuseByPolicy(request_record& record);
   void AskForClaim(request_record& record);
   void ReplayRecorded(request_record& record, const claim_answered& event);
   void TakeOver(const resume_arrived& event);
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -2,7 +2,6 @@
 #define TARRAGON_DECISION_DISPATCHER_H_
 
 #include <cstddef>
-#include <deque>
 #include <optional>
 
 #include "decision/engine_core.h"
@@ -14,25 +13,31 @@
  public:
   explicit dispatcher(engine_core& core) : core_(core) {}
 
-  /** Queues a request that has no open attempt. */
+  /** Queues a new request, or refuses it if it would not be served in time. */
   void Enqueue(request_record& record);
 
+  /** Queues a request that was sent before; it is not displaced by new ones. */
+  void EnqueueAgain(request_record& record);
+
   /** Sends what endpoints have room for and ends what has waited too long. */
   void Run();
 
-  /** @return whether a second attempt was sent to another endpoint. */
-  bool SendHedge(request_record& record);
+  /** Sends a second attempt of a slow read if policy and budget allow it. */
+  void TryHedge(request_record& record);
 
-  std::size_t size() const { return queue_.size(); }
+  std::size_t size() const { return queued_; }
   void Validate() const;
 
  private:
-  std::optional<endpoint_name> Choose(const request_record& record);
-  void Send(request_record& record, const endpoint_name& endpoint);
+  void RefuseQueued(request_record& record, finish_reason reason, duration wait);
+  void RunInOrder(service_policies& service);
+  void RunQueue(service_policies& service);
+  bool TrySend(request_record& record);
+  void Send(request_record& record, const endpoint_state& endpoint);
+  bool EndIfHopeless(request_record& record);
 
   engine_core& core_;
-  std::deque<request_id> queue_;
-  std::size_t next_ = 0;
+  std::size_t queued_ = 0;
 };
 
 }  // namespace tarragon::decision
--- a/src/decision/endpoint_table.cc
+++ b/src/decision/endpoint_table.cc
@@ -1,6 +1,9 @@
 #include "decision/endpoint_table.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "decision/peer_counts.h"
 
 namespace tarragon::decision {
 
@@ -9,8 +12,13 @@
     state.in_document = false;
   }
   for (const auto& settings : document.contents().endpoints) {
-    auto& state = endpoints_[settings.name];
-    state.name = settings.name;
+    const auto [place, added] = endpoints_.try_emplace(settings.name);
+    endpoint_state& state = place->second;
+    if (added) {
+      state.name = settings.name;
+      state.gossip_hash = peer_counts::HashOf(settings.name);
+      state.index = TakeIndex();
+    }
     state.service = settings.service;
     state.failure_domain = settings.failure_domain;
     state.in_document = true;
@@ -25,6 +33,30 @@
   SetLeavingInList(list_leaving_);
 }
 
+policy::endpoint_index endpoint_table::TakeIndex() {
+  if (free_indices_.empty()) {
+    return next_index_++;
+  }
+  const policy::endpoint_index index = free_indices_.back();
+  free_indices_.pop_back();
+  return index;
+}
+
+std::vector<endpoint_state> endpoint_table::TakeUnused(
+    const std::function<bool(const endpoint_state&)>& is_unused) {
+  std::vector<endpoint_state> taken;
+  for (auto it = endpoints_.begin(); it != endpoints_.end();) {
+    if (!it->second.in_document && is_unused(it->second)) {
+      free_indices_.push_back(it->second.index);
+      taken.push_back(std::move(it->second));
+      it = endpoints_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return taken;
+}
+
 void endpoint_table::SetLeavingInList(const std::vector<endpoint_name>& leaving) {
   if (&leaving != &list_leaving_) {
     list_leaving_ = leaving;
@@ -67,11 +99,9 @@
   state.blocked_until = std::max(state.blocked_until, now + backoff);
 }
 
-bool endpoint_table::IsLost(time_point now,
-                            const endpoint_name& name,
-                            std::chrono::milliseconds loss_timeout) const {
+duration endpoint_table::UnreachableFor(time_point now, const endpoint_name& name) const {
   const endpoint_state* state = Find(name);
-  return state == nullptr || (state->failing_since && now - *state->failing_since >= loss_timeout);
+  return state != nullptr && state->failing_since ? now - *state->failing_since : duration::zero();
 }
 
 void endpoint_table::Block(const endpoint_name& name, time_point until) {
--- a/src/decision/endpoint_table.h
+++ b/src/decision/endpoint_table.h
@@ -2,6 +2,8 @@
 #define TARRAGON_DECISION_ENDPOINT_TABLE_H_
 
 #include <chrono>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,12 +14,16 @@
 #include "tarragon/base/ids.h"
 #include "tarragon/decision/event.h"
 #include "tarragon/document/operating_document.h"
+#include "tarragon/policy/endpoint_index.h"
 
 namespace tarragon::decision {
 
 /** What is known of one endpoint, apart from the attempts. */
 struct endpoint_state {
   endpoint_name name;
+  /** Stays the same while the endpoint is listed; used again afterwards. */
+  policy::endpoint_index index = 0;
+  std::uint32_t gossip_hash = 0;
   std::string service;
   std::string failure_domain;
   bool in_document = false;
@@ -41,6 +47,11 @@
 class endpoint_table final {
  public:
   void Apply(const document::operating_document& document);
+
+  /** Removes and returns the endpoints that are not in the document and that `is_unused` names. */
+  std::vector<endpoint_state> TakeUnused(
+      const std::function<bool(const endpoint_state&)>& is_unused);
+
   void SetLeavingInList(const std::vector<endpoint_name>& leaving);
   void Report(time_point now, const load_reported& report);
 
@@ -56,10 +67,8 @@
                      std::chrono::milliseconds loss_timeout,
                      std::chrono::milliseconds backoff);
 
-  /** @return whether connects have failed for the whole of `loss_timeout`. */
-  bool IsLost(time_point now,
-              const endpoint_name& name,
-              std::chrono::milliseconds loss_timeout) const;
+  /** @return how long connects have failed; zero if the last one was made. */
+  duration UnreachableFor(time_point now, const endpoint_name& name) const;
 
   void Block(const endpoint_name& name, time_point until);
 
@@ -72,9 +81,13 @@
   const std::map<endpoint_name, endpoint_state>& all() const { return endpoints_; }
 
  private:
+  policy::endpoint_index TakeIndex();
+
   std::map<endpoint_name, endpoint_state> endpoints_;
   std::map<std::string, std::vector<const endpoint_state*>> by_service_;
   std::vector<endpoint_name> list_leaving_;
+  std::vector<policy::endpoint_index> free_indices_;
+  policy::endpoint_index next_index_ = 0;
 };
 
 }  // namespace tarragon::decision
--- a/src/decision/engine_core.cc
+++ b/src/decision/engine_core.cc
@@ -6,12 +6,16 @@
 #include <utility>
 #include <variant>
 
+#include "tarragon/base/hash.h"
 #include "tarragon/base/invariant.h"
 
 namespace tarragon::decision {
 
 engine_core::engine_core(engine_options chosen, std::uint64_t seed, metrics& registry)
-    : options(chosen), counters(registry), random(seed) {}
+    : options(std::move(chosen)),
+      counters(registry),
+      random(seed),
+      policies(options, endpoints, attempts) {}
 
 void engine_core::Begin(time_point time, std::vector<action>& actions) {
   TARRAGON_INVARIANT(time >= now, "time went backwards");
@@ -43,6 +47,7 @@
   record.arrived = now;
   record.last_progress = now;
   record.deadline = facts.deadline;
+  record.account = {Hash64(facts.account)};
   checker_.Open(facts.request);
   return record;
 }
@@ -74,6 +79,9 @@
   if (!record.claim_token.empty() && !claims.Contains(id) && verdict == run_verdict::kNotRun) {
     Emit(release_claim{record.facts.account, record.facts.idempotency_key, record.claim_token});
   }
+  if (record.phase == request_phase::kQueued) {
+    policies.Of(record.facts.service).queue.Remove(id);
+  }
   held_bytes -= record.cursor.held_bytes();
   const auto reader = readers.find(record.cursor.generation());
   if (reader != readers.end() && reader->second == id) {
@@ -93,23 +101,41 @@
   attempt.id = attempts.NextId();
   attempt.request = record.facts.request;
   attempt.content = record.facts.content;
+  const endpoint_state* endpoint = endpoints.Find(attempt.endpoint);
+  TARRAGON_INVARIANT(endpoint != nullptr, "attempt at an endpoint that is not listed");
+  attempt.index = endpoint->index;
   attempt.last_token = now;
   attempt.sent_at = now;
+  attempt.window_start = now;
   if (!record.facts.repeatable) {
     attempt.claim_account = record.facts.account;
     attempt.claim_key = record.facts.idempotency_key;
     attempt.claim_token = record.claim_token;
   }
   record.attempts.push_back(attempt.id);
+  policies.OnListed(now, record, attempt);
   return attempts.Add(std::move(attempt));
 }
 
 void engine_core::EndAttempt(request_record& record, attempt_id attempt, run_verdict verdict) {
   record.past_verdict = Combine(record.past_verdict, verdict);
   std::erase(record.attempts, attempt);
+  RemoveAttempt(attempt);
+}
+
+void engine_core::RemoveAttempt(attempt_id attempt) {
+  policies.OnEnded(now, *attempts.Find(attempt));
   attempts.Remove(attempt);
 }
 
+ending engine_core::SuspectEnding(const request_record& record) const {
+  const duration refused = policies.suspects.RefusedFor(now, record.facts.content);
+  return {.reason = finish_reason::kSuspectRefused,
+          .status = 422,
+          .message = "the request was running at several endpoints when they died",
+          .retry_after = std::chrono::ceil<std::chrono::milliseconds>(refused)};
+}
+
 void engine_core::Cancel(attempt_record& attempt) {
   Emit(cancel_attempt{attempt.id, attempt.endpoint, attempt.generation});
   attempt.phase = attempt_phase::kCancelling;
@@ -123,8 +149,11 @@
   if (reader != readers.end() && reader->second == record.facts.request) {
     readers.erase(reader);
   }
-  readers[generation] = record.facts.request;
+  if (!generation.empty()) {
+    readers[generation] = record.facts.request;
+  }
   held_bytes -= record.cursor.held_bytes();
+  record.most_tokens = std::max(record.most_tokens, record.cursor.next_index());
   record.cursor.Attach(std::move(generation), next_index);
 }
 
@@ -149,7 +178,7 @@
       break;
     case leftover::kClose:
       Emit(close_attempt{id});
-      attempts.Remove(id);
+      RemoveAttempt(id);
       break;
     case leftover::kOrphan:
       attempt.phase = attempt_phase::kOrphan;
@@ -173,12 +202,14 @@
     TARRAGON_INVARIANT(record.attempts.size() == 1, "two attempts at one generation");
   }
   if (options.isolate_suspects) {
-    TARRAGON_INVARIANT(attempts.Suspects(send.endpoint) <= 1, "two suspects at one endpoint");
+    TARRAGON_INVARIANT(attempts.CountsOf(endpoint->index).suspects <= 1,
+                       "two suspects at one endpoint");
   }
 }
 
 void engine_core::Validate() const {
   attempts.Validate();
+  policies.Validate();
   std::size_t held = 0;
   std::size_t open = 0;
   std::size_t listed = 0;
--- a/src/decision/engine_core.h
+++ b/src/decision/engine_core.h
@@ -14,6 +14,7 @@
 #include "decision/attempt_table.h"
 #include "decision/claim_ledger.h"
 #include "decision/endpoint_table.h"
+#include "decision/policy_set.h"
 #include "decision/request_record.h"
 #include "tarragon/base/metrics.h"
 #include "tarragon/decision/action.h"
@@ -66,12 +67,18 @@
   /** The single place where requests end: states the verdict and settles attempts and claim. */
   void Finish(request_record& record, ending how);
 
+  /** @return how a request ends whose fingerprint crashed too many endpoints. */
+  ending SuspectEnding(const request_record& record) const;
+
   /** Lists an attempt for the request; the caller emits the send. */
   attempt_record& AddAttempt(request_record& record, attempt_record attempt);
 
   /** Removes an attempt whose outcome is known. */
   void EndAttempt(request_record& record, attempt_id attempt, run_verdict verdict);
 
+  /** Removes an attempt whose request has finished. */
+  void RemoveAttempt(attempt_id attempt);
+
   /** Asks the endpoint to stop; the slot counts as used until the outcome is observed. */
   void Cancel(attempt_record& attempt);
 
@@ -97,6 +104,7 @@
   std::map<request_id, request_record> requests;
   attempt_table attempts;
   endpoint_table endpoints;
+  policy_set policies;
   claim_ledger claims;
   std::unordered_map<generation_id, request_id> readers;
   std::size_t held_bytes = 0;
--- /dev/null
+++ b/src/decision/policy_set.cc
@@ -0,0 +1,353 @@
+#include "decision/policy_set.h"
+
+#include <algorithm>
+#include <string_view>
+
+#include "tarragon/base/hash.h"
+#include "tarragon/base/invariant.h"
+#include "tarragon/policy/endpoint_subset.h"
+
+namespace tarragon::decision {
+
+namespace {
+
+constexpr std::size_t kMaxPrefixes = 4096;
+// Memory is reserved for a length that nine in ten outputs do not pass.
+constexpr double kReservedQuantile = 0.9;
+constexpr double kMedian = 0.5;
+// Ledger and detector are updated once per this many tokens, which bounds the cost per token.
+constexpr std::uint32_t kTokensPerUpdate = 16;
+// Levels of demotion inside one class priority, each for four times the tokens of the one before.
+constexpr int kDemotionLevels = 4;
+constexpr std::uint32_t kFirstDemotionTokens = 256;
+// One datagram carries no more than this.
+constexpr std::size_t kMaxGossipAccounts = 16;
+constexpr std::size_t kMaxGossipSuspects = 16;
+
+account_id AccountOf(std::string_view name) {
+  return {Hash64(name)};
+}
+
+}  // namespace
+
+policy_set::policy_set(const engine_options& options,
+                       endpoint_table& endpoints,
+                       attempt_table& attempts)
+    : options_(options), endpoints_(endpoints), attempts_(attempts), prefixes_(kMaxPrefixes) {}
+
+service_policies& policy_set::Of(const std::string& service) {
+  return services_.try_emplace(service, options_).first->second;
+}
+
+void policy_set::ApplyDocument(const document::operating_document& document) {
+  endpoints_.Apply(document);
+  for (const endpoint_state& gone : endpoints_.TakeUnused([this](const endpoint_state& endpoint) {
+         return attempts_.CountsOf(endpoint.index).in_flight == 0;
+       })) {
+    Of(gone.service).outliers.Remove(gone.index);
+    concurrency_.Reset(gone.index);
+    memory_.SetEndpoint(gone.index, 0, 0, 0);
+    prefixes_.Forget(gone.index);
+    history_.erase(gone.index);
+  }
+  for (auto& [name, service] : services_) {
+    service.endpoints.clear();
+  }
+  for (const auto& settings : document.contents().services) {
+    SetSubset(document, settings.name);
+  }
+  for (const auto& account : document.contents().accounts) {
+    accounts.SetRate(AccountOf(account.name), account.requests_per_second);
+  }
+}
+
+void policy_set::SetSubset(const document::operating_document& document, const std::string& name) {
+  service_policies& service = Of(name);
+  const auto& all = endpoints_.OfService(name);
+  std::vector<std::string_view> vms;
+  for (const auto& vm : document.contents().vms) {
+    vms.emplace_back(vm.name);
+  }
+  std::vector<policy::subset_endpoint> named;
+  for (const endpoint_state* endpoint : all) {
+    named.push_back({endpoint->name, endpoint->failure_domain});
+  }
+  for (const std::size_t position : policy::endpoint_subset::Compute(options_.own_vm, vms, named)) {
+    service.endpoints.push_back(all[position]);
+    service.outliers.Add(all[position]->index);
+  }
+}
+
+void policy_set::OnLoad(time_point now, const load_reported& report) {
+  endpoints_.Report(now, report);
+  const endpoint_state* endpoint = endpoints_.Find(report.endpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  concurrency_.SetSlots(endpoint->index, report.slots);
+  const std::uint64_t own = memory_.OwnHeld(endpoint->index);
+  const std::uint64_t others =
+      report.memory_tokens_used > own ? report.memory_tokens_used - own : 0;
+  const std::uint32_t streams = peers_.InFlight(endpoint->gossip_hash);
+  memory_.SetEndpoint(endpoint->index, report.memory_tokens_total, others, streams);
+}
+
+void policy_set::OnCache(const cache_changed& change) {
+  if (const endpoint_state* endpoint = endpoints_.Find(change.endpoint)) {
+    prefixes_.Apply(endpoint->index, change);
+  }
+}
+
+void policy_set::OnPeer(time_point now, const peer_state_received& peer) {
+  peers_.Set(peer.vm, peer.state.endpoints);
+  std::vector<policy::account_demand> demand;
+  for (const account_usage& usage : peer.state.accounts) {
+    demand.push_back({usage.account, usage.requests_per_second});
+  }
+  accounts.SetPeer(peer.vm, demand);
+  std::vector<policy::suspect_deaths> deaths;
+  for (const suspect_report& report : peer.state.suspects) {
+    deaths.push_back({report.content, report.deaths, report.cleared});
+  }
+  suspects.Merge(now, peer.vm, deaths);
+}
+
+void policy_set::OnPeerLost(const std::string& vm) {
+  peers_.Remove(vm);
+  accounts.RemovePeer(vm);
+}
+
+void policy_set::Tick(time_point now) {
+  for (auto& [name, service] : services_) {
+    service.outliers.Update(now);
+  }
+  suspects.Expire(now);
+}
+
+std::uint32_t policy_set::PredictTokens(const request_record& record,
+                                        std::uint32_t tokens_so_far) const {
+  const std::uint32_t predicted =
+      lengths_.Predict(record.rule.name, record.account, tokens_so_far, kReservedQuantile);
+  const std::uint32_t bound = record.facts.max_tokens;
+  return bound == 0 ? predicted : std::min(predicted, std::max(bound, tokens_so_far + 1));
+}
+
+policy::work_length policy_set::LengthOf(const request_record& record) const {
+  if (!record.is_generation()) {
+    return policy::work_length::kShort;
+  }
+  const std::uint32_t predicted =
+      std::max(record.most_tokens,
+               lengths_.Predict(record.rule.name, record.account, record.most_tokens, kMedian));
+  const std::uint32_t bound = record.facts.max_tokens;
+  const std::uint32_t length = bound == 0 ? predicted : std::min(predicted, bound);
+  return length >= options_.long_work_tokens ? policy::work_length::kLong
+                                             : policy::work_length::kShort;
+}
+
+int policy_set::PriorityOf(const request_record& record) const {
+  int level = 0;
+  if (options_.demote_long_work && record.is_generation()) {
+    std::uint32_t length =
+        std::max(record.most_tokens,
+                 lengths_.Predict(record.rule.name, record.account, record.most_tokens, kMedian));
+    if (record.facts.max_tokens != 0) {
+      length = std::min(length, record.facts.max_tokens);
+    }
+    for (; level < kDemotionLevels - 1 && length > kFirstDemotionTokens; length /= 4) {
+      ++level;
+    }
+  }
+  return record.rule.priority * kDemotionLevels + level;
+}
+
+policy::stream_memory policy_set::MemoryOf(const request_record& record,
+                                           std::uint32_t produced) const {
+  return {record.facts.prompt_tokens + produced, PredictTokens(record, produced) - produced};
+}
+
+bool policy_set::Eligible(time_point now,
+                          const request_record& record,
+                          const service_policies& service,
+                          const endpoint_state& endpoint,
+                          policy::work_length length,
+                          policy::stream_memory memory) const {
+  if (endpoint.leaving() || now < endpoint.blocked_until) {
+    return false;
+  }
+  if (options_.eject_outliers && !service.outliers.MaySend(endpoint.index)) {
+    return false;
+  }
+  if (options_.isolate_suspects && !suspects.MayRun(record.facts.content, endpoint.index)) {
+    return false;
+  }
+  const attempt_table::endpoint_counts own = attempts_.CountsOf(endpoint.index);
+  const std::uint32_t total = own.in_flight + peers_.InFlight(endpoint.gossip_hash);
+  if (options_.limit_concurrency &&
+      !concurrency_.Admits(endpoint.index, {total, own.long_work}, length)) {
+    return false;
+  }
+  // A request that is larger than any endpoint's memory still runs alone.
+  return !options_.memory_admission || !record.is_generation() || total == 0 ||
+         memory_.Fits(endpoint.index, memory);
+}
+
+policy::endpoint_candidate policy_set::Candidate(time_point now,
+                                                 const request_record& record,
+                                                 const service_policies& service,
+                                                 const endpoint_state& endpoint) const {
+  policy::endpoint_candidate candidate;
+  candidate.prefix_hit = prefixes_.Holds(endpoint.index, record.facts.prefix_hash);
+  candidate.own_in_flight = attempts_.CountsOf(endpoint.index).in_flight;
+  candidate.peer_in_flight = peers_.InFlight(endpoint.gossip_hash);
+  candidate.reported_running = endpoint.load.running;
+  candidate.reported_waiting = endpoint.load.waiting;
+  candidate.slots = endpoint.load.slots;
+  candidate.report_age = now - endpoint.load_at;
+  const auto history = history_.find(endpoint.index);
+  if (history != history_.end()) {
+    candidate.own_in_flight_at_report =
+        static_cast<std::uint32_t>(history->second.At(endpoint.load_at));
+  }
+  candidate.memory_reserved = memory_.Peak(endpoint.index);
+  candidate.memory_total = memory_.Total(endpoint.index);
+  candidate.latency_factor = service.outliers.LatencyFactor(endpoint.index);
+  return candidate;
+}
+
+const endpoint_state* policy_set::Choose(time_point now,
+                                         const request_record& record,
+                                         std::mt19937_64& random) {
+  service_policies& service = Of(record.facts.service);
+  const policy::work_length length = LengthOf(record);
+  const policy::stream_memory memory =
+      record.is_generation() ? MemoryOf(record, 0) : policy::stream_memory{};
+  candidates_.assign(service.endpoints.size(), {});
+  bool preferred = false;
+  for (std::size_t i = 0; i < candidates_.size(); ++i) {
+    const endpoint_state& endpoint = *service.endpoints[i];
+    candidates_[i].eligible = false;
+    if (Eligible(now, record, service, endpoint, length, memory)) {
+      candidates_[i] = Candidate(now, record, service, endpoint);
+      preferred = preferred || !record.Avoids(endpoint.name);
+    }
+  }
+  for (std::size_t i = 0; i < candidates_.size(); ++i) {
+    const bool avoided = record.Avoids(service.endpoints[i]->name);
+    // An endpoint that failed the request is used again only if it is the last one.
+    candidates_[i].eligible = candidates_[i].eligible && (!preferred || !avoided);
+  }
+  const auto chosen = service.selector.Choose(candidates_, random);
+  return chosen ? service.endpoints[*chosen] : nullptr;
+}
+
+void policy_set::RecordInFlight(time_point now, const attempt_record& attempt, int change) {
+  const auto in_flight = static_cast<int>(attempts_.CountsOf(attempt.index).in_flight);
+  history_[attempt.index].Record(now, static_cast<std::uint64_t>(in_flight + change));
+}
+
+void policy_set::OnListed(time_point now, const request_record& record, attempt_record& attempt) {
+  attempt.in_flight_at_send = attempts_.CountsOf(attempt.index).in_flight + 1 +
+                              peers_.InFlight(peer_counts::HashOf(attempt.endpoint));
+  attempt.long_work = LengthOf(record) == policy::work_length::kLong;
+  attempt.suspect = options_.isolate_suspects && suspects.IsSuspect(attempt.content) &&
+                    suspects.TryAssign(attempt.content, attempt.index);
+  if (record.is_generation()) {
+    memory_.Reserve(attempt.id, attempt.index, MemoryOf(record, record.cursor.next_index()));
+  }
+  RecordInFlight(now, attempt, 1);
+  service_policies& service = Of(record.facts.service);
+  if (service.outliers.Health(attempt.index) == policy::endpoint_health::kHalfOpen &&
+      !attempt.is_resume) {
+    service.outliers.BeginProbe(now, attempt.index);
+  }
+}
+
+void policy_set::OnEnded(time_point now, const attempt_record& attempt) {
+  memory_.Release(attempt.id);
+  if (attempt.suspect) {
+    suspects.Release(attempt.content, attempt.index);
+  }
+  RecordInFlight(now, attempt, -1);
+}
+
+void policy_set::OnFirstAnswer(time_point now,
+                               const request_record& record,
+                               const attempt_record& attempt) {
+  if (attempt.is_resume) {
+    return;
+  }
+  const duration latency = now - attempt.sent_at;
+  concurrency_.RecordLatency(attempt.index, latency, attempt.in_flight_at_send);
+  hedges.Record(record.rule.name, latency);
+  if (!record.is_generation()) {
+    Of(record.facts.service)
+        .outliers.RecordLatency(now, attempt.index, policy::latency_kind::kService, latency);
+  }
+}
+
+void policy_set::OnToken(time_point now, const request_record& record, attempt_record& attempt) {
+  if (++attempt.window_tokens < kTokensPerUpdate) {
+    return;
+  }
+  const duration gap = (now - attempt.window_start) / attempt.window_tokens;
+  attempt.window_start = now;
+  attempt.window_tokens = 0;
+  memory_.Adjust(attempt.id, MemoryOf(record, record.cursor.next_index()));
+  Of(record.facts.service)
+      .outliers.RecordLatency(now, attempt.index, policy::latency_kind::kBetweenTokens, gap);
+}
+
+void policy_set::OnCompleted(time_point now,
+                             const request_record& record,
+                             const attempt_record& attempt) {
+  if (record.is_generation()) {
+    lengths_.Record(record.rule.name, record.account, record.cursor.next_index());
+  }
+  suspects.RecordCompleted(attempt.content);
+  Of(record.facts.service).outliers.RecordSuccess(now, attempt.index);
+}
+
+void policy_set::OnFailure(time_point now,
+                           const request_record& record,
+                           const attempt_record& attempt) {
+  Of(record.facts.service).outliers.RecordFailure(now, attempt.index);
+}
+
+void policy_set::OnDeclined(const attempt_record& attempt) {
+  concurrency_.RecordDecline(attempt.index);
+}
+
+void policy_set::FillLocalState(time_point now, peer_state& local) const {
+  for (const auto& [name, endpoint] : endpoints_.all()) {
+    const std::uint32_t in_flight = attempts_.CountsOf(endpoint.index).in_flight;
+    if (in_flight > 0) {
+      local.endpoints.push_back(
+          {endpoint.gossip_hash, static_cast<std::uint16_t>(std::min(in_flight, 65535U))});
+    }
+  }
+  for (const auto& demand : accounts.LocalDemand(now, kMaxGossipAccounts)) {
+    local.accounts.push_back({demand.account, static_cast<float>(demand.requests_per_second)});
+  }
+  const auto byte = [](std::uint32_t count) {
+    return static_cast<std::uint8_t>(std::min(count, 255U));
+  };
+  for (const auto& report : suspects.LocalReports(now, kMaxGossipSuspects)) {
+    local.suspects.push_back({report.content, byte(report.deaths), byte(report.cleared)});
+  }
+}
+
+void policy_set::Validate() const {
+  memory_.Validate();
+  concurrency_.Validate();
+  suspects.Validate();
+  accounts.Validate();
+  peers_.Validate();
+  for (const auto& [name, service] : services_) {
+    service.queue.Validate();
+    service.outliers.Validate();
+    service.budget.Validate();
+  }
+}
+
+}  // namespace tarragon::decision
--- /dev/null
+++ b/src/decision/policy_set.h
@@ -0,0 +1,111 @@
+#ifndef TARRAGON_DECISION_POLICY_SET_H_
+#define TARRAGON_DECISION_POLICY_SET_H_
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "decision/attempt_table.h"
+#include "decision/endpoint_table.h"
+#include "decision/peer_counts.h"
+#include "decision/prefix_table.h"
+#include "decision/request_record.h"
+#include "decision/service_policies.h"
+#include "tarragon/decision/engine_options.h"
+#include "tarragon/document/operating_document.h"
+#include "tarragon/policy/account_limiter.h"
+#include "tarragon/policy/concurrency_limiter.h"
+#include "tarragon/policy/crash_suspects.h"
+#include "tarragon/policy/hedge_policy.h"
+#include "tarragon/policy/in_flight_history.h"
+#include "tarragon/policy/length_estimator.h"
+#include "tarragon/policy/memory_ledger.h"
+
+namespace tarragon::decision {
+
+/** All policies of one engine, fed from the same attempts and reports. */
+class policy_set final {
+ public:
+  policy_set(const engine_options& options, endpoint_table& endpoints, attempt_table& attempts);
+
+  void ApplyDocument(const document::operating_document& document);
+  void OnLoad(time_point now, const load_reported& report);
+  void OnCache(const cache_changed& change);
+  void OnPeer(time_point now, const peer_state_received& peer);
+  void OnPeerLost(const std::string& vm);
+  void Tick(time_point now);
+
+  service_policies& Of(const std::string& service);
+  std::map<std::string, service_policies>& services() { return services_; }
+
+  /**
+   * @param tokens_so_far tokens that an earlier generation of the request produced.
+   * @return output length that the request is predicted to reach, at a high quantile.
+   */
+  std::uint32_t PredictTokens(const request_record& record, std::uint32_t tokens_so_far) const;
+
+  /** @return whether the request is predicted to be long work. */
+  policy::work_length LengthOf(const request_record& record) const;
+
+  /** @return priority for the engine: by class, then demoted by predicted and produced length. */
+  int PriorityOf(const request_record& record) const;
+
+  /** Chooses an endpoint for a new attempt. @return null if none has room. */
+  const endpoint_state* Choose(time_point now,
+                               const request_record& record,
+                               std::mt19937_64& random);
+
+  /** Books an attempt that was just listed. */
+  void OnListed(time_point now, const request_record& record, attempt_record& attempt);
+  /** Undoes what `OnListed` booked; call before the attempt is removed. */
+  void OnEnded(time_point now, const attempt_record& attempt);
+
+  /** The first token or the answer arrived. */
+  void OnFirstAnswer(time_point now, const request_record& record, const attempt_record& attempt);
+  /** A token arrived; most calls only count. */
+  void OnToken(time_point now, const request_record& record, attempt_record& attempt);
+  void OnCompleted(time_point now, const request_record& record, const attempt_record& attempt);
+  void OnFailure(time_point now, const request_record& record, const attempt_record& attempt);
+  void OnDeclined(const attempt_record& attempt);
+
+  void FillLocalState(time_point now, peer_state& local) const;
+  void Validate() const;
+
+  policy::account_limiter accounts;
+  policy::crash_suspects suspects;
+  policy::hedge_policy hedges;
+
+ private:
+  bool Eligible(time_point now,
+                const request_record& record,
+                const service_policies& service,
+                const endpoint_state& endpoint,
+                policy::work_length length,
+                policy::stream_memory memory) const;
+  policy::endpoint_candidate Candidate(time_point now,
+                                       const request_record& record,
+                                       const service_policies& service,
+                                       const endpoint_state& endpoint) const;
+  policy::stream_memory MemoryOf(const request_record& record, std::uint32_t produced) const;
+  void SetSubset(const document::operating_document& document, const std::string& name);
+  void RecordInFlight(time_point now, const attempt_record& attempt, int change);
+
+  const engine_options& options_;
+  endpoint_table& endpoints_;
+  attempt_table& attempts_;
+  std::map<std::string, service_policies> services_;
+  policy::memory_ledger memory_;
+  policy::concurrency_limiter concurrency_;
+  policy::length_estimator lengths_;
+  prefix_table prefixes_;
+  peer_counts peers_;
+  std::unordered_map<policy::endpoint_index, policy::in_flight_history> history_;
+  std::vector<policy::endpoint_candidate> candidates_;
+};
+
+}  // namespace tarragon::decision
+
+#endif  // TARRAGON_DECISION_POLICY_SET_H_
--- /dev/null
+++ b/src/decision/prefix_table.h
@@ -0,0 +1,37 @@
+#ifndef TARRAGON_DECISION_PREFIX_TABLE_H_
+#define TARRAGON_DECISION_PREFIX_TABLE_H_
+
+#include <boost/circular_buffer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "tarragon/decision/event.h"
+#include "tarragon/policy/endpoint_index.h"
+
+namespace tarragon::decision {
+
+/** Prefixes that endpoints are believed to hold. Only a hint, as cache events come late. */
+class prefix_table final {
+ public:
+  /** @param max_prefixes bound per endpoint; the oldest are forgotten first. */
+  explicit prefix_table(std::size_t max_prefixes) : max_prefixes_(max_prefixes) {}
+
+  void Apply(policy::endpoint_index endpoint, const cache_changed& change);
+  bool Holds(policy::endpoint_index endpoint, std::uint64_t prefix) const;
+  void Forget(policy::endpoint_index endpoint) { endpoints_.erase(endpoint); }
+
+ private:
+  struct prefixes {
+    std::unordered_set<std::uint64_t> held;
+    boost::circular_buffer<std::uint64_t> order;
+  };
+
+  std::size_t max_prefixes_;
+  std::unordered_map<policy::endpoint_index, prefixes> endpoints_;
+};
+
+}  // namespace tarragon::decision
+
+#endif  // TARRAGON_DECISION_PREFIX_TABLE_H_
--- a/src/decision/request_engine.cc
+++ b/src/decision/request_engine.cc
@@ -8,6 +8,7 @@
 #include "decision/caller_handler.h"
 #include "decision/dispatcher.h"
 #include "decision/engine_core.h"
+#include "decision/retry_handler.h"
 #include "decision/stream_handler.h"
 #include "tarragon/base/hash.h"
 #include "tarragon/base/invariant.h"
@@ -18,8 +19,9 @@
   state(const engine_options& options, std::uint64_t seed, metrics& counters)
       : core(options, seed, counters),
         queue(core),
-        streams(core, queue),
-        calls(core, queue),
+        retries(core, queue),
+        streams(core, retries),
+        calls(core, queue, retries),
         callers(core, queue, streams) {}
 
   void On(const request_arrived& event) { callers.On(event); }
@@ -33,12 +35,12 @@
   void On(const attempt_finished& event);
   void On(const attempt_failed& event);
   void On(const cancel_observed& event);
-  void On(const load_reported& event) { core.endpoints.Report(core.now, event); }
-  void On(const cache_changed&) {}
+  void On(const load_reported& event) { core.policies.OnLoad(core.now, event); }
+  void On(const cache_changed& event) { core.policies.OnCache(event); }
   void On(const document_changed& event);
   void On(const vm_list_changed& event) { core.endpoints.SetLeavingInList(event.leaving); }
-  void On(const peer_state_received& event) { callers.OnAdopted(event.state.adopted); }
-  void On(const peer_lost&) {}
+  void On(const peer_state_received& event);
+  void On(const peer_lost& event) { core.policies.OnPeerLost(event.vm); }
   void On(const tick&);
   void On(const drain_started&) { core.draining = true; }
 
@@ -53,6 +55,7 @@
 
   engine_core core;
   dispatcher queue;
+  retry_handler retries;
   stream_handler streams;
   call_handler calls;
   caller_handler callers;
@@ -73,7 +76,7 @@
 bool request_engine::state::EndLeftover(attempt_id id) {
   const target found = Find(id);
   if (found.attempt != nullptr && found.record == nullptr) {
-    core.attempts.Remove(id);
+    core.RemoveAttempt(id);
     return true;
   }
   return found.attempt == nullptr;
@@ -97,31 +100,22 @@
   }
   const auto [attempt, record] = Find(event.attempt);
   if (attempt->is_resume) {
-    streams.Reconnect(*record, attempt->id, false);
+    retries.Reconnect(*record, attempt->id, core.options.reconnect_interval);
     return;
   }
   if (attempt->taken) {
+    // It was accepted before, so the decline belongs to something else.
     core.Count("tarragon_events_ignored_total");
     return;
   }
   core.endpoints.Reached(attempt->endpoint);
-  record->avoid.push_back(attempt->endpoint);
   if (!event.permanent) {
     core.endpoints.Block(attempt->endpoint, core.now + event.retry_after);
+    core.policies.OnDeclined(*attempt);
   }
-  core.EndAttempt(*record, attempt->id, run_verdict::kNotRun);
-  if (!record->attempts.empty()) {
-    return;
-  }
-  if (record->phase == request_phase::kDetached) {
-    core.Finish(*record, {.reason = finish_reason::kCancelled, .status = 499});
-  } else if (event.permanent) {
-    core.Finish(
-        *record,
-        {.reason = finish_reason::kRefusedByEndpoint, .status = 422, .message = event.message});
-  } else {
-    queue.Enqueue(*record);
-  }
+  retries.OnEnded(*record, *attempt,
+                  event.permanent ? policy::attempt_end::kRefused : policy::attempt_end::kDeclined,
+                  run_verdict::kNotRun, event.message);
 }
 
 void request_engine::state::On(const token_received& event) {
@@ -138,7 +132,7 @@
   }
   if (record == nullptr) {
     calls.OnLateResponse(*attempt, event);
-    core.attempts.Remove(event.attempt);
+    core.RemoveAttempt(event.attempt);
   } else if (!record->is_generation()) {
     calls.OnResponse(*record, *attempt, event);
   }
@@ -169,7 +163,7 @@
 void request_engine::state::On(const cancel_observed& event) {
   const attempt_record* attempt = core.attempts.Find(event.attempt);
   if (attempt != nullptr && attempt->phase == attempt_phase::kCancelling) {
-    core.attempts.Remove(event.attempt);
+    core.RemoveAttempt(event.attempt);
   }
 }
 
@@ -179,7 +173,12 @@
     return;
   }
   core.document = event.document;
-  core.endpoints.Apply(*event.document);
+  core.policies.ApplyDocument(*event.document);
+}
+
+void request_engine::state::On(const peer_state_received& event) {
+  core.policies.OnPeer(core.now, event);
+  callers.OnAdopted(event.state.adopted);
 }
 
 void request_engine::state::On(const tick&) {
@@ -195,6 +194,7 @@
     }
   }
   callers.Tick();
+  core.policies.Tick(core.now);
   TickAttempts();
 }
 
@@ -204,7 +204,7 @@
     const bool leftover_phase =
         attempt.phase == attempt_phase::kCancelling || attempt.phase == attempt_phase::kOrphan;
     if (leftover_phase && core.now >= attempt.next_step) {
-      core.attempts.Remove(id);
+      core.RemoveAttempt(id);
     }
   }
 }
@@ -226,13 +226,7 @@
 
 peer_state request_engine::LocalState(time_point now) const {
   peer_state local;
-  for (const auto& [name, endpoint] : state_->core.endpoints.all()) {
-    const std::uint32_t in_flight = state_->core.attempts.InFlight(name);
-    if (in_flight > 0) {
-      local.endpoints.push_back({static_cast<std::uint32_t>(Hash64(name)),
-                                 static_cast<std::uint16_t>(std::min(in_flight, 65535U))});
-    }
-  }
+  state_->core.policies.FillLocalState(now, local);
   local.adopted = state_->callers.Adopted(now);
   return local;
 }
--- a/src/decision/request_record.h
+++ b/src/decision/request_record.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_DECISION_REQUEST_RECORD_H_
 #define TARRAGON_DECISION_REQUEST_RECORD_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -47,9 +48,18 @@
   /** Endpoints that declined or failed this request since it was queued. */
   std::vector<endpoint_name> avoid;
   std::uint32_t sends = 0;
+  /** Most tokens that a generation of this request has produced. */
+  std::uint32_t most_tokens = 0;
+  account_id account;
+  double account_weight = 1;
+  /** A repeat is not sent before this time. */
+  time_point not_before;
   std::string claim_token;
 
   bool is_generation() const { return facts.kind == request_kind::kGeneration; }
+  bool Avoids(const endpoint_name& endpoint) const {
+    return std::ranges::find(avoid, endpoint) != avoid.end();
+  }
   bool held() const { return facts.whole_answer || rule.on_loss == document::loss_policy::kHold; }
 };
 
--- a/src/decision/stream_handler.cc
+++ b/src/decision/stream_handler.cc
@@ -6,9 +6,9 @@
 namespace tarragon::decision {
 
 void stream_handler::OnAccepted(request_record& record, attempt_record& attempt) {
-  core_.endpoints.Reached(attempt.endpoint);
   if (attempt.phase == attempt_phase::kSent) {
     attempt.phase = attempt_phase::kAccepted;
+    core_.endpoints.Reached(attempt.endpoint);
   }
   attempt.taken = true;
   attempt.last_token = core_.now;
@@ -34,7 +34,10 @@
                              attempt_record& attempt,
                              const token_received& event) {
   OnAccepted(record, attempt);
-  attempt.has_tokens = true;
+  if (!std::exchange(attempt.has_tokens, true)) {
+    core_.policies.OnFirstAnswer(core_.now, record, attempt);
+  }
+  core_.policies.OnToken(core_.now, record, attempt);
   if (record.phase == request_phase::kDetached) {
     return;
   }
@@ -49,7 +52,7 @@
       }
       break;
     case token_place::kGap:
-      Reconnect(record, attempt.id, true);
+      retries_.Reconnect(record, attempt.id, core_.options.gap_delay);
       break;
     case token_place::kDuplicate:
     case token_place::kForeign:
@@ -63,7 +66,8 @@
                                 const attempt_finished& event) {
   if (event.finish_reason == kCancelledFinishReason) {
     // Another entry cancelled it without knowing that the caller came back here.
-    OnLost(record, attempt, false);
+    attempt.taken = false;
+    retries_.OnEnded(record, attempt, policy::attempt_end::kGenerationLost, run_verdict::kRan);
     return;
   }
   OnAccepted(record, attempt);
@@ -75,9 +79,10 @@
     return;
   }
   if (event.token_count > record.cursor.next_index()) {
-    Reconnect(record, attempt.id, true);
+    retries_.Reconnect(record, attempt.id, core_.options.gap_delay);
     return;
   }
+  core_.policies.OnCompleted(core_.now, record, attempt);
   core_.EndAttempt(record, attempt.id, run_verdict::kRan);
   DeliverHeld(record);
   core_.Finish(record, {.engine_reason = event.finish_reason});
@@ -95,117 +100,45 @@
 void stream_handler::OnFailed(request_record& record,
                               attempt_record& attempt,
                               const attempt_failed& event) {
+  core_.policies.OnFailure(core_.now, record, attempt);
+  // A failed resume says nothing of the generation, which the endpoint may still be running.
+  const bool may_have_run =
+      attempt.is_resume || attempt.taken || event.verdict != run_verdict::kNotRun;
+  const run_verdict verdict = may_have_run ? attempt.verdict() : run_verdict::kNotRun;
+  policy::attempt_end end = policy::attempt_end::kConnectionLost;
   switch (event.cause) {
     case failure_cause::kGenerationUnknown:
       core_.endpoints.Reached(attempt.endpoint);
-      OnLost(record, attempt, attempt.taken);
-      return;
+      end = policy::attempt_end::kGenerationLost;
+      break;
     case failure_cause::kConnectFailed:
       core_.endpoints.ConnectFailed(core_.now, attempt.endpoint, core_.options.loss_timeout,
                                     core_.options.connect_backoff);
+      end = policy::attempt_end::kConnectFailed;
       break;
     case failure_cause::kConnectionLost:
     case failure_cause::kSilent:
     case failure_cause::kBadAnswer:
+      // After an answer that makes no sense the engine may still be running the generation, so
+      // it is asked again before anything else.
       break;
   }
-  if (event.verdict == run_verdict::kNotRun && !attempt.is_resume && !attempt.taken) {
-    record.avoid.push_back(attempt.endpoint);
-    core_.EndAttempt(record, attempt.id, run_verdict::kNotRun);
-    if (record.phase == request_phase::kDetached) {
-      core_.Finish(record, {.reason = finish_reason::kCancelled, .status = 499});
-    } else {
-      queue_.Enqueue(record);
-    }
-    return;
-  }
-  if (event.cause == failure_cause::kConnectFailed) {
-    OnConnectFailed(record, attempt);
-  } else {
-    Reconnect(record, attempt.id, true);
-  }
-}
-
-void stream_handler::OnConnectFailed(request_record& record, attempt_record& attempt) {
-  if (core_.endpoints.IsLost(core_.now, attempt.endpoint, core_.options.loss_timeout)) {
-    OnLost(record, attempt, true);
-  } else {
-    Reconnect(record, attempt.id, false);
-  }
+  retries_.OnEnded(record, attempt, end, verdict);
 }
 
-void stream_handler::OnLost(request_record& record, attempt_record& attempt, bool endpoint_died) {
-  (void)endpoint_died;
-  core_.Count("tarragon_generations_lost_total");
-  record.avoid.assign(1, attempt.endpoint);
-  core_.EndAttempt(record, attempt.id, attempt.verdict());
-  if (record.phase == request_phase::kDetached) {
-    core_.Finish(record, {.reason = finish_reason::kCancelled, .status = 499});
-    return;
-  }
-  const bool visible = record.cursor.visible();
-  if (visible && record.rule.on_loss == document::loss_policy::kEnd) {
-    core_.Finish(record, {.reason = finish_reason::kLost,
-                          .status = 502,
-                          .message = "the endpoint lost the generation"});
+void stream_handler::Attach(request_record& record, const endpoint_name& endpoint) {
+  if (core_.endpoints.Find(endpoint) == nullptr) {
+    // Its address is not known, so the generation cannot be reached.
+    retries_.OnUnreachableGeneration(record);
     return;
   }
-  record.restart_pending = record.restart_pending || visible;
-  core_.Follow(record, {}, 0);
-  record.deadline = std::max(record.deadline, core_.now + core_.options.recovery_timeout);
-  queue_.Enqueue(record);
-}
-
-void stream_handler::Attach(request_record& record, const endpoint_name& endpoint) {
   record.phase = request_phase::kActive;
   attempt_record attempt;
   attempt.endpoint = endpoint;
   attempt.generation = record.cursor.generation();
   attempt.is_resume = true;
   attempt.phase = attempt_phase::kBackoff;
-  attempt_record& added = core_.AddAttempt(record, std::move(attempt));
-  if (core_.endpoints.Find(endpoint) == nullptr) {
-    // Its address is not known, so the generation cannot be reached.
-    OnLost(record, added, false);
-    return;
-  }
-  Resume(record, added);
-}
-
-void stream_handler::Reconnect(request_record& record, attempt_id id, bool at_once) {
-  const attempt_record old = *core_.attempts.Find(id);
-  const time_point limit =
-      std::max(record.deadline, record.last_progress + core_.options.recovery_timeout);
-  if (core_.now >= limit && record.phase != request_phase::kDetached) {
-    core_.Finish(record, {.reason = finish_reason::kLost,
-                          .status = 504,
-                          .message = "the endpoint stopped answering"});
-    return;
-  }
-  core_.Emit(close_attempt{id});
-  core_.EndAttempt(record, id, run_verdict::kMayHaveRun);
-  attempt_record next;
-  next.endpoint = old.endpoint;
-  next.generation = old.generation;
-  next.is_resume = true;
-  next.taken = old.taken;
-  next.has_tokens = old.has_tokens;
-  next.suspect = old.suspect;
-  next.phase = attempt_phase::kBackoff;
-  const bool soon = old.is_resume && core_.now - old.sent_at < core_.options.reconnect_interval;
-  next.next_step = at_once && !soon ? core_.now : core_.now + core_.options.reconnect_interval;
-  attempt_record& added = core_.AddAttempt(record, std::move(next));
-  if (added.next_step <= core_.now && record.phase == request_phase::kActive) {
-    Resume(record, added);
-  }
-}
-
-void stream_handler::Resume(request_record& record, attempt_record& attempt) {
-  attempt.phase = attempt_phase::kSent;
-  attempt.sent_at = core_.now;
-  attempt.last_token = core_.now;
-  core_.Emit(resume_attempt{record.facts.request, attempt.id, attempt.endpoint, attempt.generation,
-                            record.cursor.next_index()});
+  retries_.Resume(record, core_.AddAttempt(record, std::move(attempt)));
 }
 
 void stream_handler::Tick(request_record& record) {
@@ -215,10 +148,10 @@
   attempt_record& attempt = *core_.attempts.Find(record.attempts.front());
   if (attempt.phase == attempt_phase::kBackoff) {
     if (core_.now >= attempt.next_step) {
-      Resume(record, attempt);
+      retries_.Resume(record, attempt);
     }
   } else if (core_.now - attempt.last_token >= core_.options.attempt_watchdog) {
-    Reconnect(record, attempt.id, true);
+    retries_.OnEnded(record, attempt, policy::attempt_end::kConnectionLost, attempt.verdict());
   }
 }
 
--- a/src/decision/stream_handler.h
+++ b/src/decision/stream_handler.h
@@ -1,15 +1,15 @@
 #ifndef TARRAGON_DECISION_STREAM_HANDLER_H_
 #define TARRAGON_DECISION_STREAM_HANDLER_H_
 
-#include "decision/dispatcher.h"
 #include "decision/engine_core.h"
+#include "decision/retry_handler.h"
 
 namespace tarragon::decision {
 
 /** Handles attempts at generations: delivery in order, resumption, and the loss rule. */
 class stream_handler final {
  public:
-  stream_handler(engine_core& core, dispatcher& queue) : core_(core), queue_(queue) {}
+  stream_handler(engine_core& core, retry_handler& retries) : core_(core), retries_(retries) {}
 
   void OnAccepted(request_record& record, attempt_record& attempt);
   void OnToken(request_record& record, attempt_record& attempt, const token_received& event);
@@ -22,18 +22,12 @@
   /** Reconnects what is due and watches for attempts of which nothing is heard. */
   void Tick(request_record& record);
 
-  /** Connects again at the next index to the same generation at the same endpoint. */
-  void Reconnect(request_record& record, attempt_id attempt, bool at_once);
-
  private:
   void Announce(request_record& record, const attempt_record& attempt);
-  void Resume(request_record& record, attempt_record& attempt);
   void DeliverHeld(request_record& record);
-  void OnConnectFailed(request_record& record, attempt_record& attempt);
-  void OnLost(request_record& record, attempt_record& attempt, bool endpoint_died);
 
   engine_core& core_;
-  dispatcher& queue_;
+  retry_handler& retries_;
 };
 
 }  // namespace tarragon::decision
--- a/tests/decision/world/fake_world.h
+++ b/tests/decision/world/fake_world.h
@@ -101,6 +101,7 @@
   void Kill(std::size_t endpoint, std::chrono::milliseconds down);
   void KillEntry(std::size_t entry);
   void SetLeaving(std::size_t endpoint, bool leaving);
+  vm_list_changed LeavingList() const;
 
   void Apply(std::size_t entry, const send_attempt& what);
   void Apply(std::size_t entry, const resume_attempt& what);
@@ -149,6 +150,7 @@
   std::map<request_id, std::string> claim_tokens_;
   std::uint64_t last_request_ = 0;
   std::uint64_t last_life_ = 0;
+  document::document_ptr document_;
   std::uint64_t document_version_ = 0;
   std::uint64_t events_ = 0;
   std::uint64_t completed_ = 0;
