--- /dev/null
+++ b/src/platform/http_platform_store.cc
@@ -0,0 +1,197 @@
+#include "tarragon/platform/http_platform_store.h"
+
+#include <boost/outcome/try.hpp>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+#include "http_library.h"
+
+namespace tarragon::platform {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int kMaxPort = 65535;
+constexpr int kOk = 200;
+constexpr int kLastOk = 299;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
+constexpr int kStatusTooMany = 429;
+constexpr int kFirstServerError = 500;
+constexpr const char* kJsonType = "application/json";
+constexpr const char* kBytesType = "application/octet-stream";
+
+enum class call_kind : std::uint8_t { kRead, kWrite };
+
+std::string Encoded(const std::string& key) {
+  return httplib::detail::encode_query_param(key);
+}
+
+/** @return whether the request certainly did not reach the platform. */
+bool IsNotSent(httplib::Error error) {
+  return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
+         error == httplib::Error::BindIPAddress;
+}
+
+store_result<std::string> Body(const httplib::Result& answer, call_kind kind) {
+  // A read has no effect, so its failure never leaves an unknown outcome.
+  const store_error unanswered =
+      kind == call_kind::kRead ? store_error::kUnavailable : store_error::kUnknownOutcome;
+  if (!answer) {
+    return IsNotSent(answer.error()) ? store_error::kUnavailable : unanswered;
+  }
+  const int status = answer->status;
+  if (status >= kOk && status <= kLastOk) {
+    return answer->body;
+  }
+  if (status == kStatusNotFound) {
+    return store_error::kNotFound;
+  }
+  if (status == kStatusConflict) {
+    return store_error::kConflict;
+  }
+  if (status == kStatusTooMany) {
+    return store_error::kRateLimited;
+  }
+  // A gateway sends a 5xx also when the platform behind it has applied the write.
+  return status >= kFirstServerError ? unanswered : store_error::kBadAnswer;
+}
+
+httplib::Client MakeClient(const http_store_options& options) {
+  httplib::Client client(options.host, options.port);
+  client.set_connection_timeout(options.connect_timeout);
+  client.set_read_timeout(options.io_timeout);
+  client.set_write_timeout(options.io_timeout);
+  client.set_keep_alive(false);
+  client.set_tcp_nodelay(true);
+  // Keys are encoded here, where their extent is known.
+  client.set_url_encode(false);
+  return client;
+}
+
+store_result<row> ToRow(const json& value) {
+  if (!value.is_object() || !value.contains("key") || !value["key"].is_string() ||
+      !value.contains("version") || !value["version"].is_number_unsigned() ||
+      !value.contains("value") || !value["value"].is_string()) {
+    return store_error::kBadAnswer;
+  }
+  return row{.key = value["key"].get<std::string>(),
+             .value = value["value"].get<std::string>(),
+             .version = value["version"].get<std::uint64_t>()};
+}
+
+json Parse(const std::string& text) {
+  return json::parse(text, nullptr, /*allow_exceptions=*/false);
+}
+
+json ToJson(const transaction& writes) {
+  json conditions = json::array();
+  for (const row_condition& condition : writes.conditions) {
+    conditions.push_back({{"key", condition.key}, {"version", condition.version}});
+  }
+  json values = json::array();
+  for (const row_write& write : writes.writes) {
+    values.push_back(
+        {{"key", write.key}, {"value", write.value ? json(*write.value) : json(nullptr)}});
+  }
+  return {{"conditions", std::move(conditions)}, {"writes", std::move(values)}};
+}
+
+std::string TextOr(const json& value, const char* key) {
+  return value.contains(key) && value[key].is_string() ? value[key].get<std::string>()
+                                                       : std::string();
+}
+
+}  // namespace
+
+std::unique_ptr<http_platform_store> http_platform_store::Make(http_store_options options) {
+  if (options.host.empty() || options.port <= 0 || options.port > kMaxPort) {
+    return nullptr;
+  }
+  return std::unique_ptr<http_platform_store>(new http_platform_store(std::move(options)));
+}
+
+http_platform_store::http_platform_store(http_store_options options)
+    : options_(std::move(options)) {}
+
+store_result<std::string> http_platform_store::Get(const std::string& path) {
+  httplib::Client client = MakeClient(options_);
+  return Body(client.Get(path), call_kind::kRead);
+}
+
+store_result<row> http_platform_store::Read(const std::string& key) {
+  BOOST_OUTCOME_TRY(body, Get("/table/" + Encoded(key)));
+  return ToRow(Parse(body));
+}
+
+store_result<std::vector<row>> http_platform_store::Scan(const std::string& prefix) {
+  BOOST_OUTCOME_TRY(body, Get("/table?prefix=" + Encoded(prefix)));
+  json list = Parse(body);
+  // The list may be the answer itself or its member `rows`.
+  if (list.is_object() && list.contains("rows")) {
+    list = json(list["rows"]);
+  }
+  if (!list.is_array()) {
+    return store_error::kBadAnswer;
+  }
+  std::vector<row> rows;
+  rows.reserve(list.size());
+  for (const json& entry : list) {
+    BOOST_OUTCOME_TRY(parsed, ToRow(entry));
+    rows.push_back(std::move(parsed));
+  }
+  return rows;
+}
+
+store_result<std::vector<std::uint64_t>> http_platform_store::Commit(const transaction& writes) {
+  const std::string request = ToJson(writes).dump(-1, ' ', false, json::error_handler_t::replace);
+  httplib::Client client = MakeClient(options_);
+  BOOST_OUTCOME_TRY(
+      body, Body(client.Post("/table/transactions", request, kJsonType), call_kind::kWrite));
+  const json answer = Parse(body);
+  if (!answer.is_object() || !answer.contains("versions") || !answer["versions"].is_array() ||
+      answer["versions"].size() != writes.writes.size()) {
+    return store_error::kBadAnswer;
+  }
+  std::vector<std::uint64_t> versions;
+  for (const json& version : answer["versions"]) {
+    if (!version.is_number_unsigned()) {
+      return store_error::kBadAnswer;
+    }
+    versions.push_back(version.get<std::uint64_t>());
+  }
+  return versions;
+}
+
+store_result<std::string> http_platform_store::GetObject(const std::string& key) {
+  return Get("/objects/" + Encoded(key));
+}
+
+store_result<std::string> http_platform_store::PutObject(const std::string& key,
+                                                         const std::string& data) {
+  httplib::Client client = MakeClient(options_);
+  return Body(client.Put("/objects/" + Encoded(key), data, kBytesType), call_kind::kWrite);
+}
+
+store_result<std::vector<listed_vm>> http_platform_store::ListVms() {
+  BOOST_OUTCOME_TRY(body, Get("/vms"));
+  const json list = Parse(body);
+  if (!list.is_array()) {
+    return store_error::kBadAnswer;
+  }
+  std::vector<listed_vm> vms;
+  for (const json& entry : list) {
+    if (!entry.is_object()) {
+      return store_error::kBadAnswer;
+    }
+    vms.push_back({.id = TextOr(entry, "id"),
+                   .address = TextOr(entry, "address"),
+                   .failure_domain = TextOr(entry, "failure_domain"),
+                   .leaving = TextOr(entry, "state") == "leaving"});
+  }
+  return vms;
+}
+
+}  // namespace tarragon::platform
--- /dev/null
+++ b/src/platform/platform_store.cc
@@ -0,0 +1,23 @@
+#include "tarragon/platform/platform_store.h"
+
+namespace tarragon::platform {
+
+std::string_view ToString(store_error error) {
+  switch (error) {
+    case store_error::kUnavailable:
+      return "unavailable";
+    case store_error::kUnknownOutcome:
+      return "unknown-outcome";
+    case store_error::kConflict:
+      return "conflict";
+    case store_error::kNotFound:
+      return "not-found";
+    case store_error::kRateLimited:
+      return "rate-limited";
+    case store_error::kBadAnswer:
+      return "bad-answer";
+  }
+  return "unknown";
+}
+
+}  // namespace tarragon::platform
