Add the platform threads: claims, the list of VMs and the head row

Cause: unrepeatable calls were refused because nothing carried out claims. Results that could not be recorded are repeated, and a drain waits up to 10 s for them.

--- a/src/net/entry_process.cc
+++ b/src/net/entry_process.cc
@@ -14,7 +14,9 @@
 #include "tarragon/net/caller_api.h"
 #include "tarragon/net/core_thread.h"
 #include "tarragon/net/load_poller.h"
+#include "tarragon/net/platform_thread.h"
 #include "tarragon/net/socket_address.h"
+#include "tarragon/platform/http_platform_store.h"
 
 namespace tarragon::net {
 
@@ -24,6 +26,7 @@
 constexpr int kHttpUnauthorized = 401;
 constexpr int kHttpUnavailable = 503;
 constexpr std::chrono::milliseconds kDrainPollInterval{10};
+constexpr std::chrono::seconds kClaimDrainTimeout{10};
 
 decision::engine_options EngineOptions(const settings::entry_settings& settings) {
   const settings::policy_settings& policy = settings.policy;
@@ -79,6 +82,19 @@
   return options;
 }
 
+std::unique_ptr<platform::http_platform_store> MakeStore(const settings::entry_settings& settings) {
+  const auto address = socket_address::Make(settings.platform_address);
+  if (!address) {
+    return nullptr;
+  }
+  platform::http_store_options options;
+  options.host = address->ip;
+  options.port = address->port;
+  options.connect_timeout = settings.platform_connect_timeout;
+  options.io_timeout = settings.platform_read_timeout;
+  return platform::http_platform_store::Make(options);
+}
+
 }  // namespace
 
 struct entry_process::state {
@@ -87,7 +103,7 @@
         time(source),
         core(
             CoreOptions(settings),
-            [](const claim_action&) { return false; },
+            [this](const claim_action& action) { return calls && calls->TryPush(action); },
             time,
             counters),
         api(ApiOptions(settings), core, documents, time, counters),
@@ -100,7 +116,13 @@
         server(ServerOptions(settings),
                [this](const httplib::Request& request, httplib::Response& response) {
                  Route(request, response);
-               }) {
+               }),
+        store(MakeStore(settings)) {
+    if (store) {
+      calls = std::make_unique<platform_thread>(
+          platform_thread_options{}, *store, documents,
+          [this](decision::event&& what) { core.Post(std::move(what)); }, time, counters);
+    }
     documents.AddListener([this](const document::document_ptr& next) {
       LogEvent("document_changed", {{"version", next->version()}});
       counters.Gauge("tarragon_document_version").Set(static_cast<std::int64_t>(next->version()));
@@ -169,6 +191,9 @@
   caller_api api;
   load_poller loads;
   http_server server;
+  std::unique_ptr<platform::http_platform_store> store;
+  /** Null without a platform; then unrepeatable calls are refused. */
+  std::unique_ptr<platform_thread> calls;
 };
 
 entry_process::entry_process(settings::entry_settings settings, const clock& time)
@@ -189,6 +214,9 @@
   if (initial) {
     ChangeDocument(std::move(initial));
   }
+  if (state_->calls) {
+    state_->calls->Start();
+  }
   state_->loads.Start();
   state_->server.Start();
   LogEvent("started", {{"vm", state_->settings.vm_name}, {"port", callers_port()}});
@@ -214,7 +242,12 @@
   while (state_->core.OpenRequests() > 0 || state_->api.OpenAnswers() > 0) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
-  LogEvent("drained");
+  // A result that is not recorded would leave its key blocked; an outage must not hold the exit.
+  const time_point give_up = state_->time.Now() + kClaimDrainTimeout;
+  while (state_->calls && state_->calls->PendingClaims() > 0 && state_->time.Now() < give_up) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
+  LogEvent("drained", {{"unrecorded_claims", state_->calls ? state_->calls->PendingClaims() : 0}});
 }
 
 void entry_process::Stop() {
@@ -222,6 +255,9 @@
     state_->loads.Stop();
     // The core ends first, which closes the mailboxes that handlers wait for.
     state_->core.Stop();
+    if (state_->calls) {
+      state_->calls->Stop();
+    }
     state_->server.Stop();
   }
 }
--- /dev/null
+++ b/src/net/platform_thread.cc
@@ -0,0 +1,242 @@
+#include "tarragon/net/platform_thread.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "tarragon/base/bounded_ring.h"
+#include "tarragon/base/metrics.h"
+#include "tarragon/platform/claim_store.h"
+#include "tarragon/platform/document_service.h"
+#include "tarragon/platform/platform_store.h"
+
+namespace tarragon::net {
+
+namespace {
+
+constexpr std::chrono::hours kExpiryInterval{1};
+constexpr std::chrono::milliseconds kPopInterval{100};
+
+decision::claim_state ToState(platform::claim_outcome outcome) {
+  switch (outcome) {
+    case platform::claim_outcome::kWon:
+      return decision::claim_state::kWon;
+    case platform::claim_outcome::kHeldByOther:
+      return decision::claim_state::kHeldByOther;
+    case platform::claim_outcome::kCompleted:
+      return decision::claim_state::kCompleted;
+    case platform::claim_outcome::kUnavailable:
+      return decision::claim_state::kUnavailable;
+    case platform::claim_outcome::kUnknown:
+      return decision::claim_state::kUnknown;
+  }
+  return decision::claim_state::kUnknown;
+}
+
+bool IsSettled(platform::claim_outcome outcome) {
+  return outcome == platform::claim_outcome::kWon ||
+         outcome == platform::claim_outcome::kHeldByOther;
+}
+
+}  // namespace
+
+struct platform_thread::state {
+  state(platform_thread_options thread_options,
+        platform::platform_store& platform,
+        document::document_replica& replica,
+        event_sink event_target,
+        const clock& source,
+        metrics& counters)
+      : options(thread_options),
+        store(platform),
+        documents(replica),
+        sink(std::move(event_target)),
+        time(source),
+        claims(platform, source),
+        service(platform, {}),
+        ring(thread_options.claim_capacity),
+        list_failures(counters.Counter("tarragon_vm_list_failures_total")),
+        head_failures(counters.Counter("tarragon_document_head_failures_total")),
+        document_age(counters.Gauge("tarragon_document_confirmed_age_seconds")),
+        claim_retries(counters.Counter("tarragon_claim_retries_total")) {}
+
+  /** @return false when the threads stop. */
+  bool Sleep(duration wait) {
+    std::unique_lock lock(mutex);
+    return !stop_or_timeout.wait_for(lock, wait, [this] { return stopped; });
+  }
+
+  void RunClaims() {
+    while (!ring.IsClosed()) {
+      if (const auto action = ring.Pop(kPopInterval)) {
+        std::visit([this](const auto& one) { Perform(one); }, *action);
+        pending.fetch_sub(1);
+      }
+    }
+  }
+
+  void Perform(const decision::write_claim& claim) {
+    const platform::claim_answer answer =
+        claims.Write({claim.account, claim.key, claim.claim_token}, claim.content);
+    decision::claim_answered answered;
+    answered.request = claim.request;
+    answered.state = ToState(answer.outcome);
+    answered.recorded_status = answer.recorded_status;
+    answered.recorded_body = answer.recorded_body;
+    sink(std::move(answered));
+  }
+
+  /** Repeats until the row is settled: a result that is not recorded blocks its key. */
+  template <typename F>
+  void Repeat(F write) {
+    while (!IsSettled(write()) && Sleep(options.retry_interval)) {
+      claim_retries.Add();
+    }
+  }
+
+  void Perform(const decision::complete_claim& claim) {
+    Repeat([&] {
+      return claims.Complete({claim.account, claim.key, claim.claim_token}, claim.status,
+                             claim.body);
+    });
+  }
+
+  void Perform(const decision::release_claim& claim) {
+    Repeat([&] { return claims.Release({claim.account, claim.key, claim.claim_token}); });
+  }
+
+  void RunPolls() {
+    time_point next_list = time.Now();
+    time_point next_head = next_list;
+    time_point next_expiry = next_list + kExpiryInterval;
+    do {
+      const time_point now = time.Now();
+      if (now >= next_list) {
+        next_list = now + options.list_interval;
+        PollList();
+      }
+      if (now >= next_head) {
+        next_head = now + options.head_interval;
+        PollHead();
+      }
+      if (now >= next_expiry) {
+        next_expiry = now + kExpiryInterval;
+        (void)claims.ExpireOld();
+      }
+    } while (Sleep(std::max(std::min(next_list, next_head) - time.Now(), duration::zero())));
+  }
+
+  void PollList() {
+    const auto list = store.ListVms();
+    if (!list) {
+      list_failures.Add();
+      return;
+    }
+    std::unordered_set<std::string> leaving;
+    for (const platform::listed_vm& vm : list.value()) {
+      if (vm.leaving) {
+        leaving.insert(vm.id);
+        leaving.insert(vm.address);
+      }
+    }
+    decision::vm_list_changed changed;
+    if (const document::document_ptr document = documents.Current()) {
+      for (const document::endpoint_settings& endpoint : document->contents().endpoints) {
+        if (leaving.contains(endpoint.name) || leaving.contains(endpoint.address)) {
+          changed.leaving.push_back(endpoint.name);
+        }
+      }
+    }
+    // Sent each time, because the document may have changed as well.
+    sink(std::move(changed));
+  }
+
+  void PollHead() {
+    const auto head = service.ReadHead();
+    if (!head) {
+      head_failures.Add();
+    } else if (head.value().version > documents.Version()) {
+      if (auto loaded = service.LoadAll()) {
+        documents.Offer(time.Now(), loaded.value());
+      } else {
+        head_failures.Add();
+      }
+    }
+    if (head) {
+      documents.Confirm(time.Now(), head.value().version);
+    }
+    if (const auto confirmed = documents.ConfirmedAt()) {
+      document_age.Set(std::chrono::duration_cast<std::chrono::seconds>(time.Now() - *confirmed).count());
+    }
+  }
+
+  const platform_thread_options options;
+  platform::platform_store& store;
+  document::document_replica& documents;
+  const event_sink sink;
+  const clock& time;
+  platform::claim_store claims;
+  platform::document_service service;
+  bounded_ring<claim_action> ring;
+  counter& list_failures;
+  counter& head_failures;
+  counter& document_age;
+  counter& claim_retries;
+  std::atomic<std::size_t> pending{0};
+  std::mutex mutex;
+  std::condition_variable stop_or_timeout;
+  bool stopped = false;
+  std::vector<std::thread> threads;
+};
+
+platform_thread::platform_thread(platform_thread_options options,
+                                 platform::platform_store& store,
+                                 document::document_replica& documents,
+                                 event_sink sink,
+                                 const clock& time,
+                                 metrics& counters)
+    : state_(std::make_unique<state>(options, store, documents, std::move(sink), time, counters)) {}
+
+platform_thread::~platform_thread() {
+  Stop();
+}
+
+void platform_thread::Start() {
+  state_->threads.emplace_back([this] { state_->RunPolls(); });
+  for (std::size_t i = 0; i < state_->options.claim_threads; ++i) {
+    state_->threads.emplace_back([this] { state_->RunClaims(); });
+  }
+}
+
+void platform_thread::Stop() {
+  {
+    std::lock_guard lock(state_->mutex);
+    state_->stopped = true;
+  }
+  state_->stop_or_timeout.notify_all();
+  state_->ring.Close();
+  for (std::thread& thread : state_->threads) {
+    thread.join();
+  }
+  state_->threads.clear();
+}
+
+bool platform_thread::TryPush(const claim_action& action) {
+  state_->pending.fetch_add(1);
+  claim_action copy = action;
+  if (state_->ring.TryPush(std::move(copy))) {
+    return true;
+  }
+  state_->pending.fetch_sub(1);
+  return false;
+}
+
+std::size_t platform_thread::PendingClaims() const {
+  return state_->pending.load();
+}
+
+}  // namespace tarragon::net
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -54,8 +54,8 @@
   void Accept();
 
   handler handle_;
-  int socket_ = -1;
   int port_ = 0;
+  int socket_ = -1;
   std::atomic<int> connections_{0};
   std::atomic<bool> stopped_{false};
   std::mutex mutex_;
