Lint only what changed

Cause: a change of one header made the linter read every file again. Change: the key of a clean result covers the file, the repository headers that it includes (from the build's dependency log) and the linter's settings.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,18 +1,28 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over the sources. A file whose preprocessed content, settings and linter are
-# unchanged since its last clean run is skipped.
+# Runs clang-tidy over the sources. A file is skipped if it, the repository headers that it
+# includes and the linter's settings are unchanged since its last clean run.
 # usage: lint.sh <build folder> <jobs>
 set -euo pipefail
 build=$1 jobs=$2
 cache=$build/lint-cache
 mkdir -p "$cache"
-headers=$(git ls-files -co --exclude-standard '*.h' .clang-tidy | sort | xargs cat | sha256sum)
+# The build records each object's headers; only those of this repository count.
+ninja -C "$build" -t deps >"$cache/deps"
 lint_file() {
   local file=$1 key
-  key=$( (echo "$headers"; cat "$file") | sha256sum | cut -d' ' -f1)
+  key=$(awk -v source="/$file" -v root="$PWD/" '
+      /^[^ ].*: #deps/ { listed = 0; first = 1; next }
+      first { listed = (index($1, source) > 0 && substr($1, length($1) - length(source) + 1) == source); first = 0 }
+      listed && index($1, root) == 1 { print $1 }
+    ' "$cache/deps" | sort -u | xargs -r cat .clang-tidy "$file" | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$key" ] && return 0
-  clang-tidy -p "$build" --quiet "$file" 2>/dev/null && touch "$cache/$key" || { echo "lint failed: $file"; return 1; }
+  if clang-tidy -p "$build" --quiet "$file" 2>/dev/null; then
+    touch "$cache/$key"
+  else
+    echo "lint failed: $file"
+    return 1
+  fi
 }
 export -f lint_file
-export build cache headers
+export build cache
 git ls-files -co --exclude-standard '*.cc' | xargs -P "$jobs" -I{} bash -c 'lint_file {}'
