Add the lease and the reconciliation of engines with the document

Cause: orders to engines need one sender at a time, and some engines ignore fencing numbers.

Change: `lease_keeper` holds or waits for the lease and resolves lost answers by reading back; `order_reconciler` compares reports with the document, keeps each model's serving share, loads one engine of a failure domain at a time, orders engines back that took a stale order, and stops after two failures of a version. Neither makes calls. Ruled out: a queue of single orders, since a lost answer would leave it unclear what the engine has; orders state the whole end state instead.

Not proved yet: real processes frozen with a signal.

--- /dev/null
+++ b/bench/control/lease_keeper_bench.cc
@@ -0,0 +1,25 @@
+#include "tarragon/control/lease_keeper.h"
+
+#include <benchmark/benchmark.h>
+
+namespace tarragon::control {
+namespace {
+
+void BM_RenewAndCheck(benchmark::State& state) {
+  const lease_options options;
+  lease_keeper keeper("a", options);
+  time_point now{std::chrono::hours(1)};
+  benchmark::DoNotOptimize(keeper.Next(now));
+  keeper.OnRead(now, platform::store_error::kNotFound);
+  std::uint64_t version = 0;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(keeper.Next(now));
+    keeper.OnWritten(now, ++version);
+    benchmark::DoNotOptimize(keeper.IsHeldFor(now, duration::zero()));
+    now += options.renew_interval;
+  }
+}
+BENCHMARK(BM_RenewAndCheck);
+
+}  // namespace
+}  // namespace tarragon::control
--- /dev/null
+++ b/include/tarragon/control/rollout_record.h
@@ -0,0 +1,34 @@
+#ifndef TARRAGON_CONTROL_ROLLOUT_RECORD_H_
+#define TARRAGON_CONTROL_ROLLOUT_RECORD_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace tarragon::control {
+
+enum class rollout_state : std::uint8_t { kRunning, kDone, kStopped };
+
+/** Progress of one model version, kept in the row `control/rollout/<model>`. */
+struct rollout_record {
+  std::string model;
+  std::string version;
+  rollout_state state = rollout_state::kRunning;
+  /** Engines that have the wanted setup, of all engines of the model. */
+  std::uint32_t converged = 0;
+  std::uint32_t engines = 0;
+  /** Loads of this version that failed. */
+  std::uint32_t failures = 0;
+  /** Why the rollout stopped; empty otherwise. */
+  std::string reason;
+
+  /** @return the record as JSON. */
+  std::string Encode() const;
+  /** @return empty if `text` is not an encoded record. */
+  static std::optional<rollout_record> Decode(const std::string& text);
+  bool operator==(const rollout_record&) const = default;
+};
+
+}  // namespace tarragon::control
+
+#endif  // TARRAGON_CONTROL_ROLLOUT_RECORD_H_
--- /dev/null
+++ b/src/control/order_reconciler.cc
@@ -0,0 +1,328 @@
+#include "tarragon/control/order_reconciler.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <ranges>
+#include <utility>
+
+#include "tarragon/base/invariant.h"
+
+namespace tarragon::control {
+
+namespace {
+
+std::optional<engine_setup> WantedSetup(const document::operating_document& document,
+                                        const document::endpoint_settings& endpoint) {
+  const document::service_settings* service = document.FindService(endpoint.service);
+  if (service == nullptr || service->kind != document::service_kind::kModel) {
+    return std::nullopt;
+  }
+  const document::model_settings* model = document.FindModel(service->model);
+  if (model == nullptr) {
+    return std::nullopt;
+  }
+  return engine_setup{model->name, model->version, model->adapters, service->name};
+}
+
+}  // namespace
+
+order_reconciler::order_reconciler(reconcile_options options) : options_(options) {}
+
+void order_reconciler::OnDocument(const document::document_ptr& document) {
+  if (document_ && document->version() <= document_->version()) {
+    return;
+  }
+  document_ = document;
+  std::map<endpoint_name, engine_record> engines;
+  for (const document::endpoint_settings& endpoint : document->contents().endpoints) {
+    const std::optional<engine_setup> wanted = WantedSetup(*document, endpoint);
+    if (!wanted) {
+      continue;
+    }
+    engine_record engine;
+    if (auto known = engines_.find(endpoint.name); known != engines_.end()) {
+      engine = std::move(known->second);
+    }
+    engine.converged_once = engine.converged_once && engine.wanted == *wanted;
+    engine.failure_domain = endpoint.failure_domain;
+    engine.model = wanted->model;
+    engine.wanted = *wanted;
+    engine.leaving = endpoint.state == document::serving_state::kLeaving;
+    if (engine.order && engine.order->wanted != *wanted) {
+      engine.order.reset();
+    }
+    engines.emplace(endpoint.name, std::move(engine));
+  }
+  engines_ = std::move(engines);
+  for (const document::model_settings& model : document->contents().models) {
+    version_progress& progress = progress_[model.name];
+    if (progress.version != model.version) {
+      progress = version_progress{model.version, 0, {}};
+    }
+  }
+  std::erase_if(progress_, [&document](const auto& item) {
+    return document->FindModel(item.first) == nullptr;
+  });
+}
+
+void order_reconciler::OnReport(time_point now, const engine_report& report) {
+  const auto found = engines_.find(report.endpoint);
+  if (found == engines_.end()) {
+    return;
+  }
+  engine_record& engine = found->second;
+  engine.report = report;
+  engine.reported = now;
+  if (IsConverged(now, engine)) {
+    engine.converged_once = true;
+    engine.order.reset();
+    return;
+  }
+  if (engine.order && report.order_document_version == engine.order->document_version) {
+    engine.order->accepted = true;
+  }
+}
+
+void order_reconciler::OnAnswer(time_point now, const engine_order& order, order_answer answer) {
+  const auto found = engines_.find(order.endpoint);
+  if (found == engines_.end() || !found->second.order ||
+      found->second.order->document_version != order.document_version) {
+    return;
+  }
+  engine_record& engine = found->second;
+  switch (answer) {
+    case order_answer::kAccepted:
+      engine.order->accepted = true;
+      break;
+    case order_answer::kFailed:
+      CountFailure(engine, fmt::format("{} refused the order", order.endpoint));
+      engine.order.reset();
+      break;
+    case order_answer::kFenced:
+      // A later tenure exists; this process learns of it from the lease row.
+      engine.order.reset();
+      break;
+    case order_answer::kUnknown:
+      engine.order->last_sent = now;
+      break;
+  }
+}
+
+void order_reconciler::Restore(const rollout_record& record) {
+  const auto found = progress_.find(record.model);
+  if (found != progress_.end() && found->second.version == record.version) {
+    found->second.failures = std::max(found->second.failures, record.failures);
+    found->second.reason = record.reason;
+  }
+}
+
+void order_reconciler::Reset() {
+  std::ranges::for_each(engines_ | std::views::values, [](engine_record& engine) {
+    engine.order.reset();
+    engine.report.reset();
+    engine.converged_once = false;
+  });
+  std::ranges::for_each(progress_ | std::views::values, [](version_progress& progress) {
+    progress.failures = 0;
+    progress.reason.clear();
+  });
+}
+
+std::vector<engine_order> order_reconciler::Next(time_point now, std::uint64_t fencing_number) {
+  TARRAGON_INVARIANT(fencing_number > 0, "orders need a tenure");
+  std::vector<engine_order> orders;
+  if (!document_) {
+    return orders;
+  }
+  ExpireOrders(now);
+  for (engine_entry* engine : ByUrgency(now)) {
+    if (MayOrder(now, engine->second)) {
+      orders.push_back(MakeOrder(now, *engine, fencing_number));
+    }
+  }
+  Validate();
+  return orders;
+}
+
+std::vector<rollout_record> order_reconciler::Rollouts(time_point now) const {
+  std::vector<rollout_record> records;
+  for (const auto& [model, progress] : progress_) {
+    const model_count count = Count(now, model);
+    rollout_record record{model,           progress.version, rollout_state::kRunning,
+                          count.converged, count.engines,    progress.failures,
+                          progress.reason};
+    if (IsStopped(model)) {
+      record.state = rollout_state::kStopped;
+    } else if (count.converged == count.engines) {
+      record.state = rollout_state::kDone;
+    }
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
+std::vector<endpoint_name> order_reconciler::Unconverged(time_point now) const {
+  std::vector<endpoint_name> names;
+  for (const auto& [name, engine] : engines_) {
+    if (!engine.leaving && !IsConverged(now, engine)) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+void order_reconciler::Validate() const {
+  TARRAGON_INVARIANT(std::ranges::all_of(engines_ | std::views::values,
+                                         [](const engine_record& engine) {
+                                           return !engine.order ||
+                                                  engine.order->wanted == engine.wanted;
+                                         }),
+                     "an open order states what the document wants");
+}
+
+bool order_reconciler::IsReachable(time_point now, const engine_record& engine) const {
+  return engine.report && now < engine.reported + options_.report_timeout;
+}
+
+bool order_reconciler::IsServing(time_point now, const engine_record& engine) const {
+  return IsReachable(now, engine) && !engine.leaving && !engine.report->leaving &&
+         !engine.report->loading && engine.report->setup.model == engine.wanted.model &&
+         !engine.order;
+}
+
+bool order_reconciler::IsConverged(time_point now, const engine_record& engine) const {
+  return IsReachable(now, engine) && !engine.report->loading &&
+         engine.report->setup == engine.wanted;
+}
+
+bool order_reconciler::IsCorrection(const engine_record& engine) const {
+  return engine.converged_once;
+}
+
+order_reconciler::model_count order_reconciler::Count(time_point now,
+                                                      const std::string& model) const {
+  model_count count;
+  for (const engine_record& engine : engines_ | std::views::values) {
+    if (engine.model != model || engine.leaving) {
+      continue;
+    }
+    count.engines += 1;
+    count.serving += IsServing(now, engine) ? 1 : 0;
+    count.converged += IsConverged(now, engine) ? 1 : 0;
+  }
+  return count;
+}
+
+bool order_reconciler::MayStop(time_point now, const engine_record& engine) const {
+  if (!IsServing(now, engine)) {
+    return true;
+  }
+  const document::model_settings* model = document_->FindModel(engine.model);
+  TARRAGON_INVARIANT(model != nullptr, "engines belong to models of the document");
+  const model_count count = Count(now, engine.model);
+  const auto needed = static_cast<std::uint32_t>(
+      std::ceil(model->min_serving_share * static_cast<double>(count.engines)));
+  return count.serving > needed;
+}
+
+bool order_reconciler::IsDomainBusy(time_point now, const std::string& failure_domain) const {
+  return std::ranges::any_of(engines_ | std::views::values, [&](const engine_record& engine) {
+    return engine.failure_domain == failure_domain && engine.order && IsReachable(now, engine);
+  });
+}
+
+bool order_reconciler::IsStopped(const std::string& model) const {
+  const auto found = progress_.find(model);
+  return found != progress_.end() && found->second.failures >= options_.max_failures;
+}
+
+bool order_reconciler::MayOrder(time_point now, const engine_record& engine) const {
+  if (engine.leaving || !IsReachable(now, engine) || engine.report->leaving ||
+      IsConverged(now, engine)) {
+    return false;
+  }
+  if (engine.order) {
+    return !engine.order->accepted && now >= engine.order->last_sent + options_.order_retry;
+  }
+  // An engine that left the wanted setup took a stale order. It is put right at once: waiting for
+  // the other loads of its failure domain would leave it wrong for longer than the stated bound.
+  if (IsCorrection(engine)) {
+    return MayStop(now, engine);
+  }
+  return !IsStopped(engine.model) && now >= last_load_ + options_.load_interval &&
+         !IsDomainBusy(now, engine.failure_domain) && MayStop(now, engine);
+}
+
+void order_reconciler::ExpireOrders(time_point now) {
+  for (engine_entry& entry : engines_) {
+    engine_record& engine = entry.second;
+    if (!engine.order) {
+      continue;
+    }
+    if (now >= engine.order->sent + options_.load_timeout) {
+      CountFailure(engine,
+                   fmt::format("{} did not reach version {} within {} s", entry.first,
+                               engine.wanted.version, options_.load_timeout.count() / 1000));
+      engine.order.reset();
+      continue;
+    }
+    // An accepted order that the engine's later report does not show was replaced by another one.
+    const bool replaced = engine.order->accepted &&
+                          engine.reported >= engine.order->last_sent + options_.order_retry &&
+                          engine.report->order_document_version != engine.order->document_version;
+    if (replaced) {
+      engine.order->accepted = false;
+    }
+  }
+}
+
+void order_reconciler::CountFailure(const engine_record& engine, std::string reason) {
+  version_progress& progress = progress_[engine.model];
+  progress.failures += 1;
+  progress.reason = std::move(reason);
+}
+
+std::vector<order_reconciler::engine_entry*> order_reconciler::ByUrgency(time_point now) {
+  struct ranked_engine {
+    engine_entry* engine;
+    bool correction;
+    bool serving;
+    double serving_share;
+  };
+  std::map<std::string, double> shares;
+  for (const auto& item : progress_) {
+    const model_count count = Count(now, item.first);
+    shares[item.first] = count.engines == 0 ? 1.0 : double(count.serving) / count.engines;
+  }
+  std::vector<ranked_engine> ranked;
+  ranked.reserve(engines_.size());
+  for (engine_entry& entry : engines_) {
+    const engine_record& engine = entry.second;
+    ranked.push_back({&entry, IsCorrection(engine), IsServing(now, engine), shares[engine.model]});
+  }
+  std::ranges::stable_sort(ranked, {}, [](const ranked_engine& item) {
+    return std::make_tuple(!item.correction, item.serving, item.serving_share);
+  });
+  std::vector<engine_entry*> result;
+  std::ranges::transform(ranked, std::back_inserter(result), &ranked_engine::engine);
+  return result;
+}
+
+engine_order order_reconciler::MakeOrder(time_point now,
+                                         engine_entry& entry,
+                                         std::uint64_t fencing_number) {
+  engine_record& engine = entry.second;
+  if (engine.order) {
+    engine.order->last_sent = now;
+  } else {
+    // Counted as not serving from the moment that the order leaves.
+    engine.order = open_order{document_->version(), engine.wanted, now, now, false};
+    last_load_ = now;
+  }
+  engine.order->document_version = document_->version();
+  return {entry.first, fencing_number, document_->version(), engine.wanted};
+}
+
+}  // namespace tarragon::control
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the build dependencies from Debian 12 packages; does nothing when all are present.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache clang-format clang-tidy curl python3
+packages=(g++ cmake ninja-build ccache clang-format clang-tidy-16 curl python3
   libasio-dev libcereal-dev libboost-dev libtomlplusplus-dev libgflags-dev libfmt-dev
   libcpp-httplib-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev
   libgtest-dev libgmock-dev libbenchmark-dev)
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -16,7 +16,8 @@
       listed && index($1, root) == 1 { print $1 }
     ' "$cache/deps" | sort -u | xargs -r cat .clang-tidy "$file" | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$key" ] && return 0
-  if clang-tidy -p "$build" --quiet "$file" 2>/dev/null; then
+  # clang-tidy 14 cannot read the views of libstdc++ 12.
+  if clang-tidy-16 -p "$build" --quiet "$file" 2>/dev/null; then
     touch "$cache/$key"
   else
     echo "lint failed: $file"
