--- /dev/null
+++ b/src/decision/attempt_table.cc
@@ -0,0 +1,66 @@
+#include "decision/attempt_table.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "tarragon/base/invariant.h"
+
+namespace tarragon::decision {
+
+void attempt_table::Count(endpoint_counts& counts, const attempt_record& record, int sign) {
+  counts.in_flight += sign;
+  counts.suspects += record.suspect ? sign : 0;
+  counts.long_work += record.long_work ? sign : 0;
+}
+
+attempt_record& attempt_table::Add(attempt_record record) {
+  if (record.index >= counts_.size()) {
+    counts_.resize(record.index + 1);
+  }
+  Count(counts_[record.index], record, 1);
+  const attempt_id id = record.id;
+  const auto [place, added] = records_.emplace(id, std::move(record));
+  TARRAGON_INVARIANT(added, "attempt id used twice");
+  return place->second;
+}
+
+attempt_record* attempt_table::Find(attempt_id id) {
+  const auto place = records_.find(id);
+  return place == records_.end() ? nullptr : &place->second;
+}
+
+const attempt_record* attempt_table::Find(attempt_id id) const {
+  const auto place = records_.find(id);
+  return place == records_.end() ? nullptr : &place->second;
+}
+
+void attempt_table::Remove(attempt_id id) {
+  const auto place = records_.find(id);
+  TARRAGON_INVARIANT(place != records_.end(), "removed attempt is not listed");
+  Count(counts_[place->second.index], place->second, -1);
+  records_.erase(place);
+}
+
+std::vector<attempt_id> attempt_table::SortedIds() const {
+  std::vector<attempt_id> ids;
+  ids.reserve(records_.size());
+  std::ranges::copy(std::views::keys(records_), std::back_inserter(ids));
+  std::ranges::sort(ids);
+  return ids;
+}
+
+attempt_table::endpoint_counts attempt_table::CountsOf(policy::endpoint_index endpoint) const {
+  return endpoint < counts_.size() ? counts_[endpoint] : endpoint_counts{};
+}
+
+void attempt_table::Validate() const {
+  std::vector<endpoint_counts> counted(counts_.size());
+  for (const auto& [id, record] : records_) {
+    TARRAGON_INVARIANT(id == record.id, "attempt listed under another id");
+    Count(counted[record.index], record, 1);
+  }
+  TARRAGON_INVARIANT(counted == counts_, "counts per endpoint differ from the attempts");
+}
+
+}  // namespace tarragon::decision
--- /dev/null
+++ b/src/decision/call_handler.cc
@@ -0,0 +1,66 @@
+#include "decision/call_handler.h"
+
+namespace tarragon::decision {
+
+void call_handler::OnAccepted(request_record& record, attempt_record& attempt) {
+  core_.endpoints.Reached(attempt.endpoint);
+  if (attempt.phase == attempt_phase::kSent) {
+    attempt.phase = attempt_phase::kAccepted;
+  }
+  attempt.taken = true;
+  record.accepted_once = true;
+}
+
+void call_handler::OnResponse(request_record& record,
+                              attempt_record& attempt,
+                              const response_received& event) {
+  OnAccepted(record, attempt);
+  OnLateResponse(attempt, event);
+  core_.policies.OnFirstAnswer(core_.now, record, attempt);
+  core_.policies.OnCompleted(core_.now, record, attempt);
+  core_.EndAttempt(record, attempt.id, run_verdict::kRan);
+  core_.Emit(deliver_response{record.facts.request, event.status, event.content_type, event.body});
+  core_.Finish(record, {.status = event.status});
+}
+
+void call_handler::OnLateResponse(const attempt_record& attempt, const response_received& event) {
+  if (!attempt.claim_token.empty()) {
+    core_.Emit(complete_claim{attempt.claim_account, attempt.claim_key, attempt.claim_token,
+                              event.status, event.body});
+  }
+}
+
+void call_handler::OnFailed(request_record& record,
+                            attempt_record& attempt,
+                            const attempt_failed& event) {
+  if (event.cause == failure_cause::kConnectFailed) {
+    core_.endpoints.ConnectFailed(core_.now, attempt.endpoint, core_.options.loss_timeout,
+                                  core_.options.connect_backoff);
+  }
+  core_.policies.OnFailure(core_.now, record, attempt);
+  const run_verdict verdict = attempt.taken ? run_verdict::kMayHaveRun : event.verdict;
+  const bool bad = event.cause == failure_cause::kBadAnswer;
+  retries_.OnEnded(record, attempt,
+                   event.cause == failure_cause::kConnectFailed
+                       ? policy::attempt_end::kConnectFailed
+                   : bad ? policy::attempt_end::kBadAnswer
+                         : policy::attempt_end::kConnectionLost,
+                   verdict);
+}
+
+void call_handler::Tick(request_record& record) {
+  if (record.phase != request_phase::kActive) {
+    return;
+  }
+  if (core_.now >= record.deadline) {
+    core_.Finish(record,
+                 {.reason = finish_reason::kDeadline,
+                  .status = 504,
+                  .message = "the endpoint did not answer before the deadline",
+                  .attempts = record.facts.repeatable ? leftover::kCancel : leftover::kOrphan});
+  } else if (core_.options.hedge_reads && record.facts.repeatable && record.attempts.size() == 1) {
+    queue_.TryHedge(record);
+  }
+}
+
+}  // namespace tarragon::decision
--- /dev/null
+++ b/src/decision/stream_handler.cc
@@ -0,0 +1,158 @@
+#include "decision/stream_handler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragon::decision {
+
+void stream_handler::OnAccepted(request_record& record, attempt_record& attempt) {
+  if (attempt.phase == attempt_phase::kSent) {
+    attempt.phase = attempt_phase::kAccepted;
+    core_.endpoints.Reached(attempt.endpoint);
+  }
+  attempt.taken = true;
+  attempt.last_token = core_.now;
+  record.accepted_once = true;
+  record.last_progress = core_.now;
+  if (record.phase == request_phase::kActive) {
+    Announce(record, attempt);
+  }
+}
+
+void stream_handler::Announce(request_record& record, const attempt_record& attempt) {
+  if (std::exchange(record.announced, true)) {
+    return;
+  }
+  if (std::exchange(record.restart_pending, false)) {
+    core_.Emit(restart_stream{record.facts.request, attempt.endpoint, attempt.generation});
+  } else {
+    core_.Emit(start_stream{record.facts.request, attempt.endpoint, attempt.generation});
+  }
+}
+
+void stream_handler::OnToken(request_record& record,
+                             attempt_record& attempt,
+                             const token_received& event) {
+  OnAccepted(record, attempt);
+  if (!std::exchange(attempt.has_tokens, true)) {
+    core_.policies.OnFirstAnswer(core_.now, record, attempt);
+  }
+  core_.policies.OnToken(core_.now, record, attempt);
+  if (record.phase == request_phase::kDetached) {
+    return;
+  }
+  switch (record.cursor.Place(event.generation, event.index)) {
+    case token_place::kNext:
+      if (record.held()) {
+        core_.held_bytes += event.text.size();
+        record.cursor.Hold(event.text);
+      } else {
+        record.cursor.Deliver();
+        core_.Emit(deliver_token{record.facts.request, event.generation, event.index, event.text});
+      }
+      break;
+    case token_place::kGap:
+      retries_.Reconnect(record, attempt.id, core_.options.gap_delay);
+      break;
+    case token_place::kDuplicate:
+    case token_place::kForeign:
+      core_.Count("tarragon_tokens_ignored_total");
+      break;
+  }
+}
+
+void stream_handler::OnFinished(request_record& record,
+                                attempt_record& attempt,
+                                const attempt_finished& event) {
+  if (event.finish_reason == kCancelledFinishReason) {
+    // Another entry cancelled it without knowing that the caller came back here.
+    attempt.taken = false;
+    retries_.OnEnded(record, attempt, policy::attempt_end::kGenerationLost, run_verdict::kRan);
+    return;
+  }
+  OnAccepted(record, attempt);
+  if (record.phase == request_phase::kDetached) {
+    core_.EndAttempt(record, attempt.id, run_verdict::kRan);
+    core_.Finish(record, {.reason = finish_reason::kCancelled,
+                          .status = 499,
+                          .message = "the caller is gone; the generation is whole"});
+    return;
+  }
+  if (event.token_count > record.cursor.next_index()) {
+    retries_.Reconnect(record, attempt.id, core_.options.gap_delay);
+    return;
+  }
+  core_.policies.OnCompleted(core_.now, record, attempt);
+  core_.EndAttempt(record, attempt.id, run_verdict::kRan);
+  DeliverHeld(record);
+  core_.Finish(record, {.engine_reason = event.finish_reason});
+}
+
+void stream_handler::DeliverHeld(request_record& record) {
+  std::uint32_t index = record.cursor.first_held();
+  core_.held_bytes -= record.cursor.held_bytes();
+  for (std::string& text : record.cursor.TakeHeld()) {
+    core_.Emit(
+        deliver_token{record.facts.request, record.cursor.generation(), index++, std::move(text)});
+  }
+}
+
+void stream_handler::OnFailed(request_record& record,
+                              attempt_record& attempt,
+                              const attempt_failed& event) {
+  core_.policies.OnFailure(core_.now, record, attempt);
+  // A failed resume says nothing of the generation, which the endpoint may still be running.
+  const bool may_have_run =
+      attempt.is_resume || attempt.taken || event.verdict != run_verdict::kNotRun;
+  const run_verdict verdict = may_have_run ? attempt.verdict() : run_verdict::kNotRun;
+  policy::attempt_end end = policy::attempt_end::kConnectionLost;
+  switch (event.cause) {
+    case failure_cause::kGenerationUnknown:
+      core_.endpoints.Reached(attempt.endpoint);
+      end = policy::attempt_end::kGenerationLost;
+      break;
+    case failure_cause::kConnectFailed:
+      core_.endpoints.ConnectFailed(core_.now, attempt.endpoint, core_.options.loss_timeout,
+                                    core_.options.connect_backoff);
+      end = policy::attempt_end::kConnectFailed;
+      break;
+    case failure_cause::kConnectionLost:
+    case failure_cause::kSilent:
+    case failure_cause::kBadAnswer:
+      // After an answer that makes no sense the engine may still be running the generation, so
+      // it is asked again before anything else.
+      break;
+  }
+  retries_.OnEnded(record, attempt, end, verdict);
+}
+
+void stream_handler::Attach(request_record& record, const endpoint_name& endpoint) {
+  if (core_.endpoints.Find(endpoint) == nullptr) {
+    // Its address is not known, so the generation cannot be reached.
+    retries_.OnUnreachableGeneration(record);
+    return;
+  }
+  record.phase = request_phase::kActive;
+  attempt_record attempt;
+  attempt.endpoint = endpoint;
+  attempt.generation = record.cursor.generation();
+  attempt.is_resume = true;
+  attempt.phase = attempt_phase::kBackoff;
+  retries_.Resume(record, core_.AddAttempt(record, std::move(attempt)));
+}
+
+void stream_handler::Tick(request_record& record) {
+  if (record.phase != request_phase::kActive) {
+    return;
+  }
+  attempt_record& attempt = *core_.attempts.Find(record.attempts.front());
+  if (attempt.phase == attempt_phase::kBackoff) {
+    if (core_.now >= attempt.next_step) {
+      retries_.Resume(record, attempt);
+    }
+  } else if (core_.now - attempt.last_token >= core_.options.attempt_watchdog) {
+    retries_.OnEnded(record, attempt, policy::attempt_end::kConnectionLost, attempt.verdict());
+  }
+}
+
+}  // namespace tarragon::decision
--- /dev/null
+++ b/src/decision/stream_handler.h
@@ -0,0 +1,35 @@
+#ifndef TARRAGON_DECISION_STREAM_HANDLER_H_
+#define TARRAGON_DECISION_STREAM_HANDLER_H_
+
+#include "decision/engine_core.h"
+#include "decision/retry_handler.h"
+
+namespace tarragon::decision {
+
+/** Handles attempts at generations: delivery in order, resumption, and the loss rule. */
+class stream_handler final {
+ public:
+  stream_handler(engine_core& core, retry_handler& retries) : core_(core), retries_(retries) {}
+
+  void OnAccepted(request_record& record, attempt_record& attempt);
+  void OnToken(request_record& record, attempt_record& attempt, const token_received& event);
+  void OnFinished(request_record& record, attempt_record& attempt, const attempt_finished& event);
+  void OnFailed(request_record& record, attempt_record& attempt, const attempt_failed& event);
+
+  /** Attaches a returning caller's request to its generation. */
+  void Attach(request_record& record, const endpoint_name& endpoint);
+
+  /** Reconnects what is due and watches for attempts of which nothing is heard. */
+  void Tick(request_record& record);
+
+ private:
+  void Announce(request_record& record, const attempt_record& attempt);
+  void DeliverHeld(request_record& record);
+
+  engine_core& core_;
+  retry_handler& retries_;
+};
+
+}  // namespace tarragon::decision
+
+#endif  // TARRAGON_DECISION_STREAM_HANDLER_H_
