--- a/tests/fakes/fake_endpoint/batch_scheduler.cc
+++ b/tests/fakes/fake_endpoint/batch_scheduler.cc
@@ -37,8 +37,20 @@
   return has_run ? cancel_outcome::kWasRunning : cancel_outcome::kWasWaiting;
 }
 
-std::vector<produced_token> batch_scheduler::Step(time_point now) {
-  Admit(now);
+void batch_scheduler::StartStep(time_point now) {
+  while (!waiting_.empty() && (Fits(waiting_.front()) || MakeRoomFor(waiting_.front(), now))) {
+    stream admitted = std::move(waiting_.front());
+    waiting_.erase(waiting_.begin());
+    const std::uint64_t cached = std::min(admitted.request.cached_tokens,  //
+                                          admitted.request.prompt_tokens);
+    const auto computed = static_cast<std::int64_t>(admitted.MemoryTokens() - cached);
+    admitted.ready_at = now + limits_.prefill_per_token * computed;
+    running_.push_back(std::move(admitted));
+  }
+  Validate();
+}
+
+std::vector<produced_token> batch_scheduler::EndStep(time_point now) {
   GrowMemory(now);
   std::vector<produced_token> tokens;
   for (stream& item : running_) {
@@ -80,18 +92,6 @@
   return std::pair(a.request.priority, a.arrival) < std::pair(b.request.priority, b.arrival);
 }
 
-void batch_scheduler::Admit(time_point now) {
-  while (!waiting_.empty() && (Fits(waiting_.front()) || MakeRoomFor(waiting_.front(), now))) {
-    stream admitted = std::move(waiting_.front());
-    waiting_.erase(waiting_.begin());
-    const std::uint64_t cached = std::min(admitted.request.cached_tokens,  //
-                                          admitted.request.prompt_tokens);
-    const auto computed = static_cast<std::int64_t>(admitted.MemoryTokens() - cached);
-    admitted.ready_at = now + limits_.prefill_per_token * computed;
-    running_.push_back(std::move(admitted));
-  }
-}
-
 bool batch_scheduler::Fits(const stream& candidate) const {
   return running_.size() < limits_.slots &&
          UsedTokens() + candidate.MemoryTokens() + 1 <= limits_.kv_tokens;
--- a/tests/fakes/fake_endpoint/batch_scheduler.h
+++ b/tests/fakes/fake_endpoint/batch_scheduler.h
@@ -79,10 +79,12 @@
   /** Ends the request if it waits or runs. */
   cancel_outcome Cancel(const generation_id& id);
 
-  /** Admits waiting work and runs one step that ends at `now`. @return the tokens produced. */
-  std::vector<produced_token> Step(time_point now);
+  /** Admits waiting work to the batch of the step that starts at `now`. */
+  void StartStep(time_point now);
+  /** @return the tokens produced by the step that ends at `now`. */
+  std::vector<produced_token> EndStep(time_point now);
 
-  /** @return time that the next step takes, given the present batch. */
+  /** @return time that a step takes with the present batch. */
   duration StepTime() const;
 
   bool IsIdle() const { return running_.empty() && waiting_.empty(); }
@@ -106,7 +108,6 @@
 
   static bool IsServedBefore(const stream& a, const stream& b);
 
-  void Admit(time_point now);
   bool Fits(const stream& candidate) const;
   bool MakeRoomFor(const stream& candidate, time_point now);
   void GrowMemory(time_point now);
--- a/tests/fakes/fake_endpoint/engine.cc
+++ b/tests/fakes/fake_endpoint/engine.cc
@@ -177,26 +177,27 @@
 void engine::RunSteps() {
   time_point last_step = clock_.Now();
   while (!stopping_) {
-    WaitForStep(last_step);
+    StartStep(last_step);
     std::lock_guard lock(mutex_);
     last_step = clock_.Now();
-    Deliver(scheduler_.Step(last_step), last_step);
+    Deliver(scheduler_.EndStep(last_step), last_step);
   }
 }
 
-// Sleeps until there is work and the time of the next step has passed.
-void engine::WaitForStep(time_point last_step) {
+// Waits for work, starts a step and sleeps until its end.
+void engine::StartStep(time_point last_step) {
   time_point due;
   {
     std::unique_lock lock(mutex_);
     const bool was_idle = scheduler_.IsIdle();
     work_.wait(lock, [this] { return stopping_ || !scheduler_.IsIdle(); });
     const time_point start = was_idle ? clock_.Now() : last_step;
+    scheduler_.StartStep(start);
     const double factor = faults_.SlowFactor(start);
     due = start + std::chrono::duration_cast<duration>(scheduler_.StepTime() * factor);
   }
   std::this_thread::sleep_until(due);
-  std::this_thread::sleep_until(faults_.FrozenUntil());
+  faults_.WaitWhileFrozen(clock_);
 }
 
 void engine::Deliver(const std::vector<produced_token>& tokens, time_point now) {
@@ -221,7 +222,7 @@
 void engine::RunHousekeeping() {
   while (!stopping_) {
     std::this_thread::sleep_for(kHousekeepingInterval);
-    std::this_thread::sleep_until(faults_.FrozenUntil());
+    faults_.WaitWhileFrozen(clock_);
     reporter_.Record(clock_.Now(), PresentLoad());
     for (const generation_ptr& orphan : store_.Sweep(clock_.Now(), options_.orphan_limit)) {
       Cancel(orphan->id());
--- a/tests/fakes/fake_endpoint/engine.h
+++ b/tests/fakes/fake_endpoint/engine.h
@@ -90,7 +90,7 @@
  private:
   void RunSteps();
   void RunHousekeeping();
-  void WaitForStep(time_point last_step);
+  void StartStep(time_point last_step);
   void Deliver(const std::vector<produced_token>& tokens, time_point now);
   nlohmann::json PresentLoad() const;
 
--- a/tests/fakes/fake_endpoint/event_stream.cc
+++ b/tests/fakes/fake_endpoint/event_stream.cc
@@ -51,7 +51,7 @@
 
 bool event_stream::SendNext(httplib::DataSink& sink) {
   const generation_progress progress = source_->WaitFor(next_, kWaitSlice);
-  std::this_thread::sleep_until(faults_.FrozenUntil());
+  faults_.WaitWhileFrozen(clock_);
   const bool ended = progress.state != generation_state::kActive;
   for (std::size_t i = 0; i < progress.produced_at.size(); ++i) {
     // Counted from the production of the token, so that the delay does not lower the rate.
--- a/tests/fakes/fake_endpoint/fault_state.cc
+++ b/tests/fakes/fake_endpoint/fault_state.cc
@@ -1,6 +1,7 @@
 #include "fakes/fake_endpoint/fault_state.h"
 
 #include <chrono>
+#include <thread>
 
 namespace tarragon::fakes {
 
@@ -62,9 +63,16 @@
   return now < faults_.slow.until ? faults_.slow.value : 1;
 }
 
-time_point fault_state::FrozenUntil() const {
+void fault_state::WaitWhileFrozen(const clock& time) const {
+  // In short sleeps, because the fault `none` may end a freeze early.
+  while (IsFrozen(time.Now())) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+}
+
+bool fault_state::IsFrozen(time_point now) const {
   std::lock_guard lock(mutex_);
-  return faults_.frozen_until;
+  return now < faults_.frozen_until;
 }
 
 duration fault_state::AnswerDelay(time_point now) const {
--- a/tests/fakes/fake_endpoint/fault_state.h
+++ b/tests/fakes/fake_endpoint/fault_state.h
@@ -22,8 +22,8 @@
 
   /** @return factor by which everything takes longer; 1 without a fault. */
   double SlowFactor(time_point now) const;
-  /** @return time at which a freeze ends; in the past if there is none. */
-  time_point FrozenUntil() const;
+  /** Sleeps while a freeze is in force. */
+  void WaitWhileFrozen(const clock& time) const;
   /** @return delay of each answer. */
   duration AnswerDelay(time_point now) const;
   bool IsLeaving() const;
@@ -34,6 +34,8 @@
   bool TakeCrossed();
 
  private:
+  bool IsFrozen(time_point now) const;
+
   struct timed {
     double value = 0;
     time_point until{};
--- a/tests/fakes/fake_endpoint/main.cc
+++ b/tests/fakes/fake_endpoint/main.cc
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <cstdlib>
-#include <thread>
 
 #include "fakes/common/stand_in_server.h"
 #include "fakes/fake_endpoint/desired_state.h"
@@ -104,9 +103,8 @@
   });
   // A frozen endpoint answers nothing but the interface that ends the freeze.
   server.set_pre_routing_handler([&](const httplib::Request& request, httplib::Response&) {
-    while (request.path != "/fault" && request.path != "/stats" &&
-           time.Now() < faults.FrozenUntil()) {
-      std::this_thread::sleep_for(milliseconds(1));
+    if (request.path != "/fault" && request.path != "/stats") {
+      faults.WaitWhileFrozen(time);
     }
     return httplib::Server::HandlerResponse::Unhandled;
   });
--- a/tests/fakes/fake_endpoint/plain_service.cc
+++ b/tests/fakes/fake_endpoint/plain_service.cc
@@ -1,7 +1,10 @@
 #include "fakes/fake_endpoint/plain_service.h"
 
+#include <cstdlib>
 #include <utility>
 
+#include "tarragon/base/log.h"
+
 namespace tarragon::fakes {
 
 namespace {
@@ -60,7 +63,12 @@
   // Counted at the start: an execution that is cut off may have had its effect.
   const std::uint64_t executions =
       log_.Add({request.get_header_value("Idempotency-Key"), request.method, request.path});
+  if (faults_.IsLethal(request.body)) {
+    LogEvent("died_on_prompt", {{"path", request.path}});
+    std::_Exit(1);
+  }
   std::this_thread::sleep_for(DrawServiceTime());
+  faults_.WaitWhileFrozen(clock_);
   ReturnSlot();
   std::this_thread::sleep_for(faults_.AnswerDelay(clock_.Now()));
   Answer(response, 200,
@@ -113,7 +121,7 @@
 void plain_service::RunReports() {
   while (!stopping_) {
     std::this_thread::sleep_for(kReportInterval);
-    std::this_thread::sleep_until(faults_.FrozenUntil());
+    faults_.WaitWhileFrozen(clock_);
     reporter_.Record(clock_.Now(), PresentLoad());
   }
 }
--- a/tests/fakes/fake_endpoint/prefix_cache.cc
+++ b/tests/fakes/fake_endpoint/prefix_cache.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <string>
 
 #include "tarragon/base/hash.h"
@@ -51,7 +50,8 @@
   const auto missing = std::ranges::find_if(
       hashes, [this](std::uint64_t hash) { return !positions_.contains(hash); });
   // From the last block to the first, so that a long prefix is evicted before its own start.
-  for (const std::uint64_t hash : std::views::reverse(hashes)) {
+  for (auto it = hashes.rbegin(); it != hashes.rend(); ++it) {
+    const std::uint64_t hash = *it;
     const auto found = positions_.find(hash);
     if (found != positions_.end()) {
       blocks_.splice(blocks_.begin(), blocks_, found->second);
--- a/tests/fakes/fake_platform/rate_limit.cc
+++ b/tests/fakes/fake_platform/rate_limit.cc
@@ -16,10 +16,11 @@
   const double elapsed = std::chrono::duration<double>(now - filled_at_).count();
   available_ = std::min(capacity_, available_ + std::max(0.0, elapsed) * per_second_);
   filled_at_ = std::max(filled_at_, now);
-  if (available_ < tokens) {
+  const double taken = std::min(tokens, capacity_);
+  if (available_ < taken) {
     return false;
   }
-  available_ -= tokens;
+  available_ -= taken;
   return true;
 }
 
--- a/tests/fakes/fake_platform/rate_limit.h
+++ b/tests/fakes/fake_platform/rate_limit.h
@@ -13,7 +13,7 @@
   /** @param per_second tokens added per second; 0 for no limit. */
   explicit rate_limit(double per_second);
 
-  /** @return whether `tokens` could be taken; a rate below 1 still lets single tokens pass. */
+  /** @return whether `tokens` could be taken; more than the bucket holds count as a full one. */
   bool Take(double tokens, time_point now);
 
  private:
--- a/tests/fakes/fake_platform/vm_list.cc
+++ b/tests/fakes/fake_platform/vm_list.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace tarragon::fakes {
 
@@ -30,7 +29,8 @@
     pending_.pop_front();
   }
   std::vector<vm_entry> entries;
-  std::ranges::copy(shown_ | std::views::values, std::back_inserter(entries));
+  std::ranges::transform(shown_, std::back_inserter(entries),
+                         [](const auto& item) { return item.second; });
   return entries;
 }
 
--- /dev/null
+++ b/tests/standins/generation_store_test.cc
@@ -0,0 +1,76 @@
+#include "fakes/fake_endpoint/generation_store.h"
+
+#include <gtest/gtest.h>
+
+#include "tarragon/base/manual_clock.h"
+
+namespace tarragon::fakes {
+namespace {
+
+using std::chrono::seconds;
+
+// Guards against a resume that repeats or skips tokens.
+TEST(GenerationStore, ResumeStartsAtTheWantedIndex) {
+  manual_clock time;
+  generation_store store(seconds(60));
+  const generation_ptr item = store.Add("abcd", 1, 0, time.Now());
+  for (int i = 0; i < 4; ++i) {
+    item->Append(time.Now(), "");
+  }
+  item->Append(time.Now(), "stop");
+  EXPECT_EQ(item->WaitFor(0, duration::zero()).produced_at.size(), 5U);
+  EXPECT_EQ(item->WaitFor(3, duration::zero()).produced_at.size(), 2U);
+  const generation_progress end = item->WaitFor(5, duration::zero());
+  EXPECT_TRUE(end.produced_at.empty());
+  EXPECT_EQ(end.state, generation_state::kFinished);
+  EXPECT_EQ(end.finish_reason, "stop");
+  EXPECT_EQ(TokenText("abcdef", 3), " w3.abcd");
+}
+
+// Guards against a generation that runs twice because its id was sent again after its expiry.
+TEST(GenerationStore, AnIdIsTakenOnceAndReadableForItsTime) {
+  manual_clock time;
+  generation_store store(seconds(60));
+  store.Add("abcd", 1, 0, time.Now())->Append(time.Now(), "stop");
+  EXPECT_EQ(store.Add("abcd", 1, 0, time.Now()), nullptr);
+  time.Advance(seconds(60));
+  EXPECT_NE(store.Find("abcd", time.Now()), nullptr);
+  time.Advance(seconds(1));
+  EXPECT_EQ(store.Find("abcd", time.Now()), nullptr);
+  EXPECT_TRUE(store.Sweep(time.Now(), seconds(30)).empty());
+  EXPECT_EQ(store.Add("abcd", 1, 0, time.Now()), nullptr);
+  EXPECT_EQ(store.Summaries().at(0).tokens, 1U);
+}
+
+// Guards against tokens that arrive after a cancel was confirmed.
+TEST(GenerationStore, ACancelledGenerationTakesNoToken) {
+  manual_clock time;
+  generation_store store(seconds(60));
+  const generation_ptr item = store.Add("abcd", 1, 0, time.Now());
+  item->End(generation_state::kCancelled, "cancelled", time.Now());
+  item->Append(time.Now(), "stop");
+  EXPECT_EQ(item->Summary().tokens, 0U);
+  EXPECT_EQ(item->Summary().state, generation_state::kCancelled);
+}
+
+// Guards against orphans that run on, and against the cancel of a generation that is read.
+TEST(GenerationStore, SweepFindsGenerationsWithoutReader) {
+  manual_clock time;
+  generation_store store(seconds(60));
+  const generation_ptr read = store.Add("a", 1, 0, time.Now());
+  const generation_ptr left = store.Add("b", 1, 0, time.Now());
+  read->Attach();
+  left->Attach();
+  left->Attach();
+  left->Detach(time.Now());
+  time.Advance(seconds(40));
+  EXPECT_TRUE(store.Sweep(time.Now(), seconds(30)).empty());
+  left->Detach(time.Now());
+  time.Advance(seconds(30));
+  const std::vector<generation_ptr> orphans = store.Sweep(time.Now(), seconds(30));
+  ASSERT_EQ(orphans.size(), 1U);
+  EXPECT_EQ(orphans[0]->id(), "b");
+}
+
+}  // namespace
+}  // namespace tarragon::fakes
--- /dev/null
+++ b/tests/standins/table_test.cc
@@ -0,0 +1,80 @@
+#include "fakes/fake_platform/table.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+namespace tarragon::fakes {
+namespace {
+
+// Guards against a transaction of which a part takes effect.
+TEST(Table, NothingIsWrittenIfOneConditionFails) {
+  table rows;
+  const std::uint64_t version = rows.Commit({{{"a", 0}}, {{"a", "1"}}}).versions.at(0);
+  const commit_result result = rows.Commit({{{"a", version}, {"b", 7}}, {{"a", "2"}, {"c", "3"}}});
+  EXPECT_TRUE(result.versions.empty());
+  ASSERT_EQ(result.conflicts.size(), 1U);
+  EXPECT_EQ(result.conflicts[0].key, "b");
+  EXPECT_EQ(rows.Read("a")->value, "1");
+  EXPECT_FALSE(rows.Read("c").has_value());
+}
+
+// Guards against a condition that holds again after the row was deleted and written anew.
+TEST(Table, AVersionNeverReturns) {
+  table rows;
+  const std::uint64_t first = rows.Commit({{}, {{"a", "1"}}}).versions.at(0);
+  EXPECT_EQ(rows.Commit({{}, {{"a", nullptr}}}).versions.at(0), 0U);
+  EXPECT_FALSE(rows.Commit({{{"a", first}}, {}}).conflicts.empty());
+  EXPECT_GT(rows.Commit({{{"a", 0}}, {{"a", "1"}}}).versions.at(0), first);
+}
+
+// Guards against scans that return neighbours of the prefix.
+TEST(Table, ScanReturnsThePrefixInOrder) {
+  table rows;
+  rows.Commit({{}, {{"a/2", "x"}, {"a/1", "y"}, {"a0", "z"}, {"a", "z"}}});
+  const std::vector<table_row> found = rows.Scan("a/");
+  ASSERT_EQ(found.size(), 2U);
+  EXPECT_EQ(found[0].key, "a/1");
+  EXPECT_EQ(found[1].key, "a/2");
+}
+
+// Guards against bodies that are taken for a transaction without conditions.
+TEST(Table, MalformedTransactionsAreRefused) {
+  EXPECT_FALSE(ParseTransaction(nlohmann::json::parse(R"({"conditions":{}})")));
+  EXPECT_FALSE(ParseTransaction(nlohmann::json::parse(R"({"conditions":[{"key":"a"}]})")));
+  EXPECT_FALSE(ParseTransaction(nlohmann::json::parse(R"({"writes":[{"key":"a"}]})")));
+  const auto parsed = ParseTransaction(nlohmann::json::parse(
+      R"({"conditions":[{"key":"a","version":3}],"writes":[{"key":"a","value":null}]})"));
+  ASSERT_TRUE(parsed.has_value());
+  EXPECT_EQ(parsed->conditions.at(0).version, 3U);
+  EXPECT_TRUE(parsed->writes.at(0).value.is_null());
+}
+
+// Guards against lost updates: increments that are conditional on what was read all count.
+RC_GTEST_PROP(Table, ConditionalIncrementsAreNeverLost, ()) {
+  table rows;
+  constexpr int kWriters = 3;
+  struct seen {
+    int value = 0;
+    std::uint64_t version = 0;
+  };
+  std::map<int, seen> read_by;
+  int committed = 0;
+  for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 2 * kWriters))) {
+    const int writer = step % kWriters;
+    if (step < kWriters) {
+      const auto row = rows.Read("n");
+      read_by[writer] = row ? seen{row->value.get<int>(), row->version} : seen{};
+      continue;
+    }
+    const seen last = read_by[writer];
+    const commit_result result = rows.Commit({{{"n", last.version}}, {{"n", last.value + 1}}});
+    committed += result.conflicts.empty() ? 1 : 0;
+  }
+  const auto row = rows.Read("n");
+  RC_ASSERT((row ? row->value.get<int>() : 0) == committed);
+}
+
+}  // namespace
+}  // namespace tarragon::fakes
