--- a/tests/fakes/fake_endpoint/event_stream.cc
+++ b/tests/fakes/fake_endpoint/event_stream.cc
@@ -52,6 +52,10 @@
 bool event_stream::SendNext(httplib::DataSink& sink) {
   const generation_progress progress = source_->WaitFor(next_, kWaitSlice);
   faults_.WaitWhileFrozen(clock_);
+  // The library notices a closed connection only when a write fails, which takes two keep-alives.
+  if (!sink.is_writable()) {
+    return false;
+  }
   const bool ended = progress.state != generation_state::kActive;
   for (std::size_t i = 0; i < progress.produced_at.size(); ++i) {
     // Counted from the production of the token, so that the delay does not lower the rate.
