--- /dev/null
+++ b/tests/wire/datagram_test.cc
@@ -0,0 +1,103 @@
+#include "tarragon/wire/datagram.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+#include "tarragon/base/hash.h"
+
+namespace tarragon::wire {
+namespace {
+
+constexpr const char* kKey = "fleet-key";
+
+member_record Record(const std::string& name) {
+  member_record record;
+  record.name = member_name::From(name);
+  record.gossip.port = 1;
+  return record;
+}
+
+probe_message FullProbe() {
+  probe_message message;
+  message.sender = Record("entry-01");
+  message.update_count = kUpdatesPerProbe;
+  message.updates.fill(Record("entry-02"));
+  decision::peer_state state;
+  for (std::uint32_t i = 0; i < 200; ++i) {
+    state.endpoints.push_back({i, static_cast<std::uint16_t>(i)});
+    state.accounts.push_back({account_id{i}, static_cast<float>(i)});
+    state.suspects.push_back({fingerprint{i}, static_cast<std::uint8_t>(i)});
+  }
+  message.payload = ToPayload(state, 9);
+  return message;
+}
+
+// Guards against datagrams that are fragmented, and against a size that depends on the contents.
+TEST(Datagram, SizeIsFixedAndBounded) {
+  probe_message empty;
+  empty.sender = Record("a");
+  const std::string full = Encode(FullProbe(), kKey);
+  EXPECT_EQ(full.size(), Encode(empty, kKey).size());
+  EXPECT_LE(full.size(), kMaxDatagramSize);
+  EXPECT_LE(Encode(sync_message{}, kKey).size(), kMaxDatagramSize);
+  EXPECT_LE(Encode(announce_message{}, kKey).size(), 200U);
+}
+
+// Guards against counts that change on the way, or the small ones being kept.
+TEST(Datagram, RoundTripKeepsLargestCounts) {
+  const auto decoded = Decode(Encode(FullProbe(), kKey), kKey);
+  ASSERT_TRUE(decoded.has_value());
+  const auto& message = std::get<probe_message>(*decoded);
+  EXPECT_EQ(message.updates[5].name.Text(), "entry-02");
+  const decision::peer_state state = FromPayload(message.payload);
+  ASSERT_EQ(state.endpoints.size(), kEndpointsPerProbe);
+  EXPECT_EQ(state.endpoints[0].in_flight, 199);
+  ASSERT_EQ(state.accounts.size(), kAccountsPerProbe);
+  EXPECT_EQ(state.accounts[0].account.value, 199U);
+}
+
+// Guards against datagrams from outside of the fleet.
+TEST(Datagram, OtherKeyIsRefused) {
+  EXPECT_FALSE(Decode(Encode(FullProbe(), kKey), "other").has_value());
+}
+
+// Guards against a crash or an accepted datagram on changed, cut or extended bytes.
+RC_GTEST_PROP(Datagram, ChangedBytesAreRefused, ()) {
+  std::string bytes = Encode(FullProbe(), kKey);
+  const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+  switch (*rc::gen::inRange(0, 3)) {
+    case 0:
+      bytes[at] = static_cast<char>(bytes[at] ^ *rc::gen::inRange(1, 256));
+      break;
+    case 1:
+      bytes.resize(at);
+      break;
+    default:
+      bytes.append(at + 1, 'x');
+  }
+  RC_ASSERT(!Decode(bytes, kKey).has_value());
+}
+
+// Guards against a crash on contents of a faulty peer that holds the key: the tag is valid.
+RC_GTEST_PROP(Datagram, RandomContentsUnderValidTagNeverCrash, ()) {
+  std::string body = Encode(FullProbe(), kKey);
+  body.resize(body.size() - 16);
+  const auto noise = *rc::gen::arbitrary<std::string>();
+  for (const char byte : noise) {
+    body[*rc::gen::inRange<std::size_t>(4, body.size())] = byte;
+  }
+  body.resize(*rc::gen::inRange<std::size_t>(5, body.size() + 1));
+  const std::string hex = HmacSha256Hex(kKey, body);
+  for (std::size_t i = 0; i < 32; i += 2) {
+    body += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16));
+  }
+  const auto decoded = Decode(body, kKey);
+  if (decoded && std::holds_alternative<probe_message>(*decoded)) {
+    RC_ASSERT(std::get<probe_message>(*decoded).update_count <= kUpdatesPerProbe);
+  }
+}
+
+}  // namespace
+}  // namespace tarragon::wire
