Check in the fake world that no generation is cancelled under its caller

Cause: an entry that does not know of a resume elsewhere cancels after 15 s. Change: the world compares each effective cancel with the connected callers.

--- a/tests/decision/world/fake_world.cc
+++ b/tests/decision/world/fake_world.cc
@@ -485,6 +485,7 @@
       const auto place = generations.find(link->generation);
       const bool stopped = place != generations.end() && !place->second.done();
       if (stopped) {
+        CheckNobodyReads(link->generation);
         place->second.cancelled = true;
         const auto links = connections_;
         for (const auto& [key, other] : links) {
@@ -496,6 +497,19 @@
   });
 }
 
+void fake_world::CheckNobodyReads(const generation_id& generation) {
+  // Without gossip an entry cannot know that its caller came back elsewhere.
+  if (now_ < gossip_lost_until_ + 2 * kGossipInterval) {
+    return;
+  }
+  for (const auto& [id, caller] : callers_) {
+    if (caller.connected() && !caller.finished() && caller.generation() == generation) {
+      truth_.Violate(
+          fmt::format("caller {}: its generation was cancelled under it", caller.number()));
+    }
+  }
+}
+
 void fake_world::Apply(std::size_t entry, const close_attempt& what) {
   if (const connection_ptr link = FindConnection(entry, what.attempt)) {
     link->open = false;
--- a/tests/decision/world/fake_world.h
+++ b/tests/decision/world/fake_world.h
@@ -102,6 +102,7 @@
   void KillEntry(std::size_t entry);
   void SetLeaving(std::size_t endpoint, bool leaving);
   vm_list_changed LeavingList() const;
+  void CheckNobodyReads(const generation_id& generation);
 
   void Apply(std::size_t entry, const send_attempt& what);
   void Apply(std::size_t entry, const resume_attempt& what);
