Test the engine's rules one by one and add its benchmark

Cause: the random worlds seldom reach hedges, refusals and suspects. Change: engine_driver feeds one engine by hand; 14 tests of single rules. Some streams of the fake world now outlast the return window, because without them a cancel under a caller that returned elsewhere could not show. Gossip of adopted generations is bounded to 32 per message. Gauges of open and waiting requests.

--- /dev/null
+++ b/bench/decision/request_engine_bench.cc
@@ -0,0 +1,90 @@
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "decision/engine_driver.h"
+
+namespace tarragon::decision {
+
+namespace {
+
+constexpr int kEndpoints = 64;
+constexpr int kAccounts = 1300;
+
+void AddAccounts(engine_driver& driver) {
+  driver.contents().accounts.clear();
+  for (int i = 0; i < kAccounts; ++i) {
+    driver.contents().accounts.push_back(
+        {.name = fmt::format("account-{}", i), .weight = 1, .token_sha256 = {}});
+  }
+  driver.Publish();
+}
+
+/** One request from its arrival to its end, with `waiting` others in flight. */
+void BM_RouteRequest(benchmark::State& state) {
+  engine_options options;
+  options.selector = static_cast<selector_choice>(state.range(1));
+  engine_driver driver(kEndpoints, options);
+  AddAccounts(driver);
+  for (int i = 0; i < state.range(0); ++i) {
+    driver.Start(driver.Generation("restart"));
+  }
+  std::vector<action> actions;
+  std::uint64_t count = 0;
+  for (auto _ : state) {
+    request_facts facts = driver.Generation("restart");
+    facts.account = fmt::format("account-{}", ++count % kAccounts);
+    actions.clear();
+    driver.engine().Handle(driver.now(), request_arrived{facts}, actions);
+    const attempt_id attempt = std::get<send_attempt>(actions.front()).attempt;
+    driver.engine().Handle(driver.now(), attempt_accepted{attempt}, actions);
+    driver.engine().Handle(driver.now(), attempt_finished{attempt, 0, "stop"}, actions);
+  }
+  state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(BM_RouteRequest)->ArgsProduct({{0, 136}, {0, 1, 2}});
+
+/** Cost per token; the length of the output must not matter. */
+void BM_Token(benchmark::State& state) {
+  engine_driver driver(kEndpoints);
+  const auto length = static_cast<std::uint32_t>(state.range(0));
+  std::vector<action> actions;
+  for (auto _ : state) {
+    state.PauseTiming();
+    const send_attempt sent = driver.Start(driver.Generation("restart"));
+    state.ResumeTiming();
+    for (std::uint32_t i = 0; i < length; ++i) {
+      actions.clear();
+      driver.engine().Handle(driver.now(),
+                             token_received{sent.attempt, sent.generation, i, "token"}, actions);
+      benchmark::DoNotOptimize(actions.data());
+    }
+    state.PauseTiming();
+    driver.Handle(attempt_finished{sent.attempt, length, "stop"});
+    state.ResumeTiming();
+  }
+  state.SetItemsProcessed(state.iterations() * state.range(0));
+}
+BENCHMARK(BM_Token)->Arg(100)->Arg(10000)->Arg(50000);
+
+/** A tick with the streams of the two-year size. */
+void BM_Tick(benchmark::State& state) {
+  engine_driver driver(kEndpoints);
+  AddAccounts(driver);
+  for (int i = 0; i < 136; ++i) {
+    driver.Start(driver.Generation("restart"));
+  }
+  std::vector<action> actions;
+  for (auto _ : state) {
+    actions.clear();
+    driver.engine().Handle(driver.now(), tick{}, actions);
+  }
+}
+BENCHMARK(BM_Tick);
+
+}  // namespace
+
+}  // namespace tarragon::decision
--- a/src/decision/caller_handler.cc
+++ b/src/decision/caller_handler.cc
@@ -11,6 +11,8 @@
 
 // Claim answers that are this late are taken as lost.
 constexpr std::chrono::minutes kClaimAnswerTimeout{10};
+// Part of a 1,200-byte datagram.
+constexpr std::size_t kMaxGossipAdoptions = 32;
 
 }  // namespace
 
@@ -256,6 +258,13 @@
     }
   }
   std::ranges::sort(hashes);
+  if (hashes.size() > kMaxGossipAdoptions) {
+    // More than fit into a datagram, as after the death of an entry: a part of them in turn.
+    const auto second = std::chrono::floor<std::chrono::seconds>(now.time_since_epoch()).count();
+    const auto turn = static_cast<std::size_t>(second) * kMaxGossipAdoptions % hashes.size();
+    std::ranges::rotate(hashes, hashes.begin() + static_cast<std::ptrdiff_t>(turn));
+    hashes.resize(kMaxGossipAdoptions);
+  }
   return hashes;
 }
 
--- a/src/decision/peer_counts.cc
+++ b/src/decision/peer_counts.cc
@@ -20,7 +20,11 @@
   }
   for (const endpoint_count& count : known->second) {
     const auto sum = sums_.find(count.endpoint_hash);
-    if (sum != sums_.end() && (sum->second -= count.in_flight) == 0) {
+    if (sum == sums_.end()) {
+      continue;
+    }
+    sum->second -= count.in_flight;
+    if (sum->second == 0) {
       sums_.erase(sum);
     }
   }
--- a/src/decision/policy_set.cc
+++ b/src/decision/policy_set.cc
@@ -69,6 +69,7 @@
     vms.emplace_back(vm.name);
   }
   std::vector<policy::subset_endpoint> named;
+  named.reserve(all.size());
   for (const endpoint_state* endpoint : all) {
     named.push_back({endpoint->name, endpoint->failure_domain});
   }
@@ -101,11 +102,13 @@
 void policy_set::OnPeer(time_point now, const peer_state_received& peer) {
   peers_.Set(peer.vm, peer.state.endpoints);
   std::vector<policy::account_demand> demand;
+  demand.reserve(peer.state.accounts.size());
   for (const account_usage& usage : peer.state.accounts) {
     demand.push_back({usage.account, usage.requests_per_second});
   }
   accounts.SetPeer(peer.vm, demand);
   std::vector<policy::suspect_deaths> deaths;
+  deaths.reserve(peer.state.suspects.size());
   for (const suspect_report& report : peer.state.suspects) {
     deaths.push_back({report.content, report.deaths, report.cleared});
   }
@@ -242,7 +245,7 @@
 }
 
 void policy_set::RecordInFlight(time_point now, const attempt_record& attempt, int change) {
-  const auto in_flight = static_cast<int>(attempts_.CountsOf(attempt.index).in_flight);
+  const std::int64_t in_flight = attempts_.CountsOf(attempt.index).in_flight;
   history_[attempt.index].Record(now, static_cast<std::uint64_t>(in_flight + change));
 }
 
--- a/src/decision/request_engine.cc
+++ b/src/decision/request_engine.cc
@@ -16,8 +16,8 @@
 namespace tarragon::decision {
 
 struct request_engine::state {
-  state(const engine_options& options, std::uint64_t seed, metrics& counters)
-      : core(options, seed, counters),
+  state(engine_options options, std::uint64_t seed, metrics& counters)
+      : core(std::move(options), seed, counters),
         queue(core),
         retries(core, queue),
         streams(core, retries),
@@ -195,6 +195,11 @@
   }
   callers.Tick();
   core.policies.Tick(core.now);
+  core.counters.Gauge("tarragon_requests_open")
+      .Set(static_cast<std::int64_t>(core.requests.size()));
+  core.counters.Gauge("tarragon_attempts_open")
+      .Set(static_cast<std::int64_t>(core.attempts.size()));
+  core.counters.Gauge("tarragon_requests_waiting").Set(static_cast<std::int64_t>(queue.size()));
   TickAttempts();
 }
 
@@ -210,7 +215,7 @@
 }
 
 request_engine::request_engine(engine_options options, std::uint64_t seed, metrics& counters)
-    : state_(std::make_unique<state>(options, seed, counters)) {}
+    : state_(std::make_unique<state>(std::move(options), seed, counters)) {}
 
 request_engine::~request_engine() = default;
 
--- /dev/null
+++ b/tests/decision/engine_driver.h
@@ -0,0 +1,143 @@
+#ifndef TARRAGON_DECISION_ENGINE_DRIVER_H_
+#define TARRAGON_DECISION_ENGINE_DRIVER_H_
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "tarragon/base/metrics.h"
+#include "tarragon/decision/engine_options.h"
+#include "tarragon/decision/request_engine.h"
+
+namespace tarragon::decision {
+
+/** Feeds one engine by hand and keeps the actions of the last step. */
+class engine_driver final {
+ public:
+  /** @param endpoints number of endpoints of each of the two services. */
+  explicit engine_driver(int endpoints, engine_options options = {}, std::uint64_t seed = 1)
+      : engine_(std::move(options), seed, counters_) {
+    using enum document::loss_policy;
+    contents_.accounts = {{.name = "shop", .weight = 1, .token_sha256 = {}}};
+    contents_.classes = {{.name = "hold", .on_loss = kHold},
+                         {.name = "restart", .on_loss = kRestart},
+                         {.name = "end", .on_loss = kEnd},
+                         {.name = "read", .on_loss = kEnd, .urgent = true}};
+    contents_.services.resize(2);
+    contents_.services[0].name = "drafter";
+    contents_.services[1].name = "booking";
+    for (int i = 0; i < endpoints; ++i) {
+      for (const auto& service : contents_.services) {
+        contents_.endpoints.push_back({.name = fmt::format("{}-{}", service.name, i),
+                                       .address = "127.0.0.1:1",
+                                       .service = service.name,
+                                       .failure_domain = "a"});
+      }
+    }
+    Publish();
+  }
+
+  /** Sends the document, after changes to `contents`, to the engine. */
+  void Publish() {
+    Handle(document_changed{document::operating_document::MakeForTesting(++version_, contents_)});
+  }
+
+  const std::vector<action>& Handle(const event& what) {
+    actions_.clear();
+    engine_.Handle(now_, what, actions_);
+    engine_.Validate();
+    return actions_;
+  }
+
+  /** Passes time in ticks of 50 ms and keeps the actions of all of them. */
+  const std::vector<action>& Advance(std::chrono::milliseconds time) {
+    std::vector<action> all;
+    for (std::chrono::milliseconds step{50}; time.count() > 0; time -= step) {
+      now_ += std::min(step, time);
+      Handle(tick{});
+      all.insert(all.end(), actions_.begin(), actions_.end());
+    }
+    actions_ = std::move(all);
+    return actions_;
+  }
+
+  request_facts Generation(const std::string& request_class, std::uint64_t content = 0) {
+    request_facts facts;
+    facts.request = {++last_request_};
+    facts.account = "shop";
+    facts.service = "drafter";
+    facts.request_class = request_class;
+    facts.prompt_tokens = 10;
+    facts.content = {content == 0 ? 1000 + last_request_ : content};
+    facts.deadline = now_ + std::chrono::seconds(30);
+    return facts;
+  }
+
+  request_facts Call(const std::string& key) {
+    request_facts facts = Generation("read");
+    facts.kind = request_kind::kServiceCall;
+    facts.service = "booking";
+    facts.repeatable = key.empty();
+    facts.idempotency_key = key;
+    return facts;
+  }
+
+  /** @return actions of type `T` of the last step. */
+  template <typename T>
+  std::vector<T> All() const {
+    std::vector<T> found;
+    for (const action& one : actions_) {
+      if (const T* match = std::get_if<T>(&one)) {
+        found.push_back(*match);
+      }
+    }
+    return found;
+  }
+
+  /** @return the only action of type `T` of the last step; an empty one if there is none. */
+  template <typename T>
+  T One() const {
+    const std::vector<T> found = All<T>();
+    return found.size() == 1 ? found.front() : T{};
+  }
+
+  /** Sends a request that an endpoint accepts. @return its attempt. */
+  send_attempt Start(const request_facts& facts) {
+    Handle(request_arrived{facts});
+    const auto sent = One<send_attempt>();
+    Handle(attempt_accepted{sent.attempt});
+    return sent;
+  }
+
+  /** The endpoint dies and comes back empty. The actions of the loss are kept. */
+  void Lose(attempt_id attempt) {
+    Handle(attempt_failed{attempt, run_verdict::kMayHaveRun, failure_cause::kConnectionLost});
+    Advance(std::chrono::milliseconds(100));
+    const auto resumed = One<resume_attempt>();
+    Handle(
+        attempt_failed{resumed.attempt, run_verdict::kNotRun, failure_cause::kGenerationUnknown});
+  }
+
+  std::int64_t Counter(const std::string& name) { return counters_.Counter(name).Value(); }
+  request_engine& engine() { return engine_; }
+  document::document_contents& contents() { return contents_; }
+  time_point now() const { return now_; }
+
+ private:
+  metrics counters_;
+  document::document_contents contents_;
+  request_engine engine_;
+  time_point now_{std::chrono::hours(1)};
+  std::vector<action> actions_;
+  std::uint64_t last_request_ = 0;
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace tarragon::decision
+
+#endif  // TARRAGON_DECISION_ENGINE_DRIVER_H_
--- /dev/null
+++ b/tests/decision/request_engine_rules_test.cc
@@ -0,0 +1,289 @@
+#include <gtest/gtest.h>
+
+#include "decision/engine_driver.h"
+#include "tarragon/base/hash.h"
+
+namespace tarragon::decision {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Answers enough reads for the hedge delay to be known. */
+void TrainReads(engine_driver& driver) {
+  for (int i = 0; i < 80; ++i) {
+    driver.Handle(request_arrived{driver.Call("")});
+    const auto sent = driver.One<send_attempt>();
+    driver.Advance(milliseconds(10));
+    driver.Handle(response_received{sent.attempt, 200, "text/plain", "ok"});
+  }
+}
+
+}  // namespace
+
+// Guards against a slow endpoint that holds up a read, and against two answers to it.
+TEST(RequestEngineRules, HedgesASlowReadAndCancelsTheLoser) {
+  engine_driver driver(2);
+  TrainReads(driver);
+  driver.Handle(request_arrived{driver.Call("")});
+  const auto first = driver.One<send_attempt>();
+  driver.Advance(milliseconds(200));
+  const auto second = driver.One<send_attempt>();
+  ASSERT_EQ(second.request, first.request);
+  EXPECT_NE(second.endpoint, first.endpoint);
+  driver.Handle(response_received{second.attempt, 200, "text/plain", "ok"});
+  EXPECT_EQ(driver.All<deliver_response>().size(), 1U);
+  EXPECT_EQ(driver.One<cancel_attempt>().attempt, first.attempt);
+  EXPECT_EQ(driver.One<finish_request>().verdict, run_verdict::kRan);
+  driver.Handle(response_received{first.attempt, 200, "text/plain", "ok"});
+  EXPECT_TRUE(driver.All<deliver_response>().empty());
+}
+
+// Guards against a second run of a call that may not be repeated.
+TEST(RequestEngineRules, NeverHedgesOrRetriesAnUnrepeatableCall) {
+  engine_driver driver(2);
+  TrainReads(driver);
+  const request_facts call = driver.Call("key");
+  driver.Handle(request_arrived{call});
+  EXPECT_TRUE(driver.All<send_attempt>().empty());
+  driver.Handle(claim_answered{call.request, claim_state::kWon, 0, {}});
+  const auto sent = driver.One<send_attempt>();
+  driver.Advance(seconds(1));
+  EXPECT_TRUE(driver.All<send_attempt>().empty());
+  driver.Handle(
+      attempt_failed{sent.attempt, run_verdict::kMayHaveRun, failure_cause::kConnectionLost});
+  EXPECT_EQ(driver.One<finish_request>().verdict, run_verdict::kMayHaveRun);
+  EXPECT_TRUE(driver.All<release_claim>().empty());
+}
+
+// Guards against a claim that stays behind, or is released, against what is known of the call.
+TEST(RequestEngineRules, AnswersEachStateOfAClaim) {
+  struct expectation {
+    claim_state state;
+    int status;
+    run_verdict verdict;
+    std::size_t releases;
+  };
+  const expectation cases[] = {
+      {claim_state::kHeldByOther, 409, run_verdict::kMayHaveRun, 0},
+      {claim_state::kCompleted, 201, run_verdict::kRan, 0},
+      {claim_state::kUnavailable, 503, run_verdict::kNotRun, 0},
+      {claim_state::kUnknown, 503, run_verdict::kNotRun, 1},
+  };
+  for (const expectation& expected : cases) {
+    engine_driver driver(1);
+    const request_facts call = driver.Call("key");
+    driver.Handle(request_arrived{call});
+    driver.Handle(claim_answered{call.request, expected.state, 201, "done"});
+    EXPECT_EQ(driver.One<finish_request>().status, expected.status);
+    EXPECT_EQ(driver.One<finish_request>().verdict, expected.verdict);
+    EXPECT_EQ(driver.All<release_claim>().size(), expected.releases);
+    EXPECT_TRUE(driver.All<send_attempt>().empty());
+  }
+}
+
+// Guards against a row that blocks its key because its request ended before the claim was won.
+TEST(RequestEngineRules, ReleasesAClaimThatIsWonTooLate) {
+  engine_driver driver(1);
+  const request_facts call = driver.Call("key");
+  driver.Handle(request_arrived{call});
+  driver.Handle(caller_gone{call.request});
+  EXPECT_EQ(driver.One<finish_request>().verdict, run_verdict::kNotRun);
+  EXPECT_TRUE(driver.All<release_claim>().empty());
+  driver.Handle(claim_answered{call.request, claim_state::kWon, 0, {}});
+  EXPECT_EQ(driver.All<release_claim>().size(), 1U);
+}
+
+// Guards against a request that goes on crashing endpoints, here or at another entry.
+TEST(RequestEngineRules, RefusesAFingerprintAfterThreeDeaths) {
+  engine_driver driver(4);
+  send_attempt sent = driver.Start(driver.Generation("restart", 7));
+  for (int death = 1; death <= 3; ++death) {
+    driver.Lose(sent.attempt);
+    if (death < 3) {
+      sent = driver.One<send_attempt>();
+      driver.Handle(attempt_accepted{sent.attempt});
+    }
+  }
+  EXPECT_EQ(driver.One<finish_request>().reason, finish_reason::kSuspectRefused);
+  EXPECT_EQ(driver.One<finish_request>().verdict, run_verdict::kMayHaveRun);
+  engine_driver other(4);
+  other.Handle(peer_state_received{"vm-1", driver.engine().LocalState(driver.now())});
+  for (engine_driver* entry : {&driver, &other}) {
+    entry->Handle(request_arrived{entry->Generation("restart", 7)});
+    EXPECT_EQ(entry->One<finish_request>().status, 422);
+    EXPECT_EQ(entry->One<finish_request>().verdict, run_verdict::kNotRun);
+    entry->Handle(request_arrived{entry->Generation("restart", 8)});
+    EXPECT_EQ(entry->All<send_attempt>().size(), 1U);
+  }
+}
+
+// Guards against a crashing request that makes other suspects look guilty by dying next to them.
+TEST(RequestEngineRules, RetriesSuspectsApart) {
+  for (const bool isolate : {true, false}) {
+    engine_driver driver(2, {.isolate_suspects = isolate});
+    std::vector<send_attempt> sent;
+    for (int i = 0; i < 6; ++i) {
+      sent.push_back(driver.Start(driver.Generation("restart")));
+    }
+    std::size_t sends = 0;
+    for (const send_attempt& one : sent) {
+      driver.Lose(one.attempt);
+      sends += driver.All<send_attempt>().size();
+    }
+    // Six suspects and two endpoints.
+    EXPECT_EQ(sends, isolate ? 2U : 6U);
+  }
+}
+
+// Guards against a restart where none is allowed and against one that the client is not told of.
+TEST(RequestEngineRules, AppliesTheLossRuleOfTheClass) {
+  for (const std::string rule : {"hold", "restart", "end"}) {
+    for (const std::uint32_t tokens : {0U, 3U}) {
+      engine_driver driver(2);
+      const send_attempt sent = driver.Start(driver.Generation(rule));
+      for (std::uint32_t i = 0; i < tokens; ++i) {
+        driver.Handle(token_received{sent.attempt, sent.generation, i, "x"});
+        EXPECT_EQ(driver.All<deliver_token>().size(), rule == "hold" ? 0U : 1U);
+      }
+      driver.Lose(sent.attempt);
+      if (rule == "end" && tokens > 0) {
+        EXPECT_EQ(driver.One<finish_request>().verdict, run_verdict::kRan);
+        continue;
+      }
+      const auto again = driver.One<send_attempt>();
+      ASSERT_NE(again.generation, sent.generation);
+      driver.Handle(attempt_accepted{again.attempt});
+      EXPECT_EQ(driver.All<restart_stream>().size(), rule == "restart" && tokens > 0 ? 1U : 0U);
+      driver.Handle(token_received{again.attempt, again.generation, 0, "y"});
+      driver.Handle(attempt_finished{again.attempt, 1, "stop"});
+      EXPECT_EQ(driver.All<deliver_token>().size(), rule == "hold" ? 1U : 0U);
+      EXPECT_EQ(driver.One<finish_request>().reason, finish_reason::kCompleted);
+    }
+  }
+}
+
+// Guards against work for an endpoint that is about to go, and against streams cut off by that.
+TEST(RequestEngineRules, LeavingEndpointIsResumedButGetsNoNewWork) {
+  engine_driver driver(1);
+  const send_attempt sent = driver.Start(driver.Generation("restart"));
+  driver.Handle(vm_list_changed{{sent.endpoint}});
+  driver.Handle(request_arrived{driver.Generation("restart")});
+  EXPECT_TRUE(driver.All<send_attempt>().empty());
+  driver.Handle(attempt_failed{sent.attempt, run_verdict::kMayHaveRun, failure_cause::kSilent});
+  driver.Advance(milliseconds(100));
+  EXPECT_EQ(driver.One<resume_attempt>().generation, sent.generation);
+  driver.Handle(vm_list_changed{{}});
+  EXPECT_EQ(driver.All<send_attempt>().size(), 1U);
+}
+
+// Guards against a generation that runs on for nobody, and one that is cut off under its caller.
+TEST(RequestEngineRules, CancelsAfterTheReturnWindowUnlessAdopted) {
+  for (const bool adopted : {true, false}) {
+    engine_driver driver(1);
+    const send_attempt sent = driver.Start(driver.Generation("restart"));
+    driver.Handle(caller_gone{sent.request});
+    driver.Advance(milliseconds(14900));
+    EXPECT_EQ(driver.engine().OpenRequests(), 1U);
+    peer_state peer;
+    if (adopted) {
+      peer.adopted = {Hash64(sent.generation)};
+    }
+    driver.Handle(peer_state_received{"vm-1", peer});
+    driver.Advance(milliseconds(200));
+    EXPECT_EQ(driver.All<cancel_attempt>().size(), adopted ? 0U : 1U);
+    EXPECT_EQ(driver.engine().OpenRequests(), 0U);
+  }
+}
+
+// Guards against two connections that both read one generation at this entry.
+TEST(RequestEngineRules, LaterResumeTakesTheGenerationOver) {
+  engine_driver driver(1);
+  const send_attempt sent = driver.Start(driver.Generation("restart"));
+  driver.Handle(token_received{sent.attempt, sent.generation, 0, "x"});
+  const request_facts back = driver.Generation("restart");
+  driver.Handle(resume_arrived{back, sent.endpoint, sent.generation, 1});
+  EXPECT_EQ(driver.One<finish_request>().request, sent.request);
+  EXPECT_TRUE(driver.All<cancel_attempt>().empty());
+  const auto resumed = driver.One<resume_attempt>();
+  EXPECT_EQ(resumed.from_index, 1U);
+  driver.Handle(token_received{sent.attempt, sent.generation, 1, "y"});
+  EXPECT_TRUE(driver.All<deliver_token>().empty());
+  driver.Handle(token_received{resumed.attempt, sent.generation, 1, "y"});
+  EXPECT_EQ(driver.One<deliver_token>().request, back.request);
+}
+
+// Guards against refusals that say too little, come too late or are not true.
+TEST(RequestEngineRules, RefusalsAreHonestAndSayWhenToRetry) {
+  engine_driver driver(1, {.max_queued = 2});
+  driver.contents().accounts[0].requests_per_second = 2;
+  driver.Publish();
+  driver.Handle(
+      load_reported{.endpoint = "drafter-0", .slots = 1, .model = {}, .model_version = {}});
+  std::vector<finish_request> refused;
+  for (int i = 0; i < 20; ++i) {
+    driver.Handle(request_arrived{driver.Generation("restart")});
+    for (const auto& finish : driver.All<finish_request>()) {
+      refused.push_back(finish);
+    }
+  }
+  EXPECT_GE(refused.size(), 17U);
+  for (const finish_request& finish : refused) {
+    EXPECT_EQ(finish.verdict, run_verdict::kNotRun);
+    EXPECT_GT(finish.retry_after.count(), 0);
+  }
+  driver.Handle(drain_started{});
+  driver.Handle(request_arrived{driver.Generation("restart")});
+  EXPECT_EQ(driver.One<finish_request>().reason, finish_reason::kDraining);
+}
+
+// Guards against a resume that is reported as not run although its generation was sent elsewhere.
+TEST(RequestEngineRules, RefusedResumeMayHaveRun) {
+  engine_driver driver(1, {.max_open = 0});
+  driver.Handle(resume_arrived{driver.Generation("restart"), "drafter-0", "ab", 0});
+  EXPECT_EQ(driver.One<finish_request>().reason, finish_reason::kQueueFull);
+  EXPECT_EQ(driver.One<finish_request>().verdict, run_verdict::kMayHaveRun);
+}
+
+// Guards against streams that outgrow the engine's memory together.
+TEST(RequestEngineRules, MemoryAdmissionHoldsBackWhatWillNotFit) {
+  for (const bool admission : {true, false}) {
+    engine_driver driver(1, {.memory_admission = admission});
+    load_reported report;
+    report.endpoint = "drafter-0";
+    report.slots = 100;
+    report.memory_tokens_total = 2100;
+    driver.Handle(report);
+    std::size_t sent = 0;
+    for (int i = 0; i < 8; ++i) {
+      request_facts facts = driver.Generation("restart");
+      facts.prompt_tokens = 1000;
+      facts.max_tokens = 50;
+      driver.Handle(request_arrived{facts});
+      sent += driver.All<send_attempt>().size();
+    }
+    EXPECT_EQ(sent, admission ? 2U : 8U);
+  }
+}
+
+// Guards against late, crossed and repeated events that change the state of another request.
+TEST(RequestEngineRules, IgnoresAndCountsEventsForUnknownAttempts) {
+  engine_driver driver(1);
+  const send_attempt sent = driver.Start(driver.Generation("restart"));
+  driver.Handle(attempt_finished{sent.attempt, 0, "stop"});
+  EXPECT_EQ(driver.All<finish_request>().size(), 1U);
+  const event late[] = {
+      attempt_accepted{sent.attempt},
+      token_received{sent.attempt, sent.generation, 0, "x"},
+      attempt_finished{sent.attempt, 0, "stop"},
+      attempt_failed{sent.attempt, run_verdict::kNotRun, failure_cause::kConnectFailed},
+      response_received{{99}, 200, "text/plain", "x"},
+      caller_gone{sent.request}};
+  for (const event& one : late) {
+    EXPECT_TRUE(driver.Handle(one).empty());
+  }
+  EXPECT_EQ(driver.Counter("tarragon_events_ignored_total"), 6);
+}
+
+}  // namespace tarragon::decision
--- a/tests/decision/world/fake_world.cc
+++ b/tests/decision/world/fake_world.cc
@@ -62,7 +62,7 @@
 }  // namespace
 
 fake_world::fake_world(world_script script, engine_options options)
-    : script_(std::move(script)), options_(options), random_(script_.seed) {
+    : script_(std::move(script)), options_(std::move(options)), random_(script_.seed) {
   now_ = time_point(std::chrono::hours(1));
   faults_end_ = now_;
   for (std::size_t i = 0; i < kModelEndpoints + kPlainEndpoints; ++i) {
--- a/tests/decision/world/world_script.cc
+++ b/tests/decision/world/world_script.cc
@@ -26,6 +26,10 @@
   plan.wish = static_cast<caller_wish>(Between(random, 0, 5));
   plan.tokens = static_cast<std::uint32_t>(OneIn(random, 5) ? Between(random, 100, 400)
                                                             : Between(random, 0, 40));
+  if (OneIn(random, 12)) {
+    // Long enough to be running when its first entry gives up on the caller.
+    plan.tokens = static_cast<std::uint32_t>(Between(random, 1500, 3000));
+  }
   plan.account = static_cast<std::uint32_t>(Between(random, 0, 2));
   plan.key = static_cast<std::uint32_t>(Between(random, 0, 5));
   plan.whole_answer = OneIn(random, 4);
