Keep the promises with the baseline policies too

Change: only an engine that ejects announces probes. Tests of ejection, of the baselines and of equal runs for equal scripts.

--- a/src/decision/policy_set.cc
+++ b/src/decision/policy_set.cc
@@ -260,8 +260,9 @@
   }
   RecordInFlight(now, attempt, 1);
   service_policies& service = Of(record.facts.service);
-  if (service.outliers.Health(attempt.index) == policy::endpoint_health::kHalfOpen &&
-      !attempt.is_resume) {
+  // Without ejection requests go to half-open endpoints as to any other, and none is a probe.
+  if (options_.eject_outliers && !attempt.is_resume &&
+      service.outliers.Health(attempt.index) == policy::endpoint_health::kHalfOpen) {
     service.outliers.BeginProbe(now, attempt.index);
   }
 }
--- a/tests/decision/engine_driver.h
+++ b/tests/decision/engine_driver.h
@@ -109,7 +109,7 @@
   /** Sends a request that an endpoint accepts. @return its attempt. */
   send_attempt Start(const request_facts& facts) {
     Handle(request_arrived{facts});
-    const auto sent = One<send_attempt>();
+    send_attempt sent = One<send_attempt>();
     Handle(attempt_accepted{sent.attempt});
     return sent;
   }
--- a/tests/decision/request_engine_rules_test.cc
+++ b/tests/decision/request_engine_rules_test.cc
@@ -124,6 +124,7 @@
   for (const bool isolate : {true, false}) {
     engine_driver driver(2, {.isolate_suspects = isolate});
     std::vector<send_attempt> sent;
+    sent.reserve(6);
     for (int i = 0; i < 6; ++i) {
       sent.push_back(driver.Start(driver.Generation("restart")));
     }
@@ -267,6 +268,29 @@
   }
 }
 
+// Guards against reads that keep going to an endpoint that was slow in this entry's own calls.
+TEST(RequestEngineRules, EjectsASlowEndpoint) {
+  for (const bool eject : {true, false}) {
+    engine_options options;
+    options.selector = selector_choice::kRoundRobin;
+    options.eject_outliers = eject;
+    options.hedge_reads = options.limit_concurrency = false;
+    engine_driver driver(4, options);
+    int slow = 0;
+    for (int i = 0; i < 200; ++i) {
+      driver.Handle(request_arrived{driver.Call("")});
+      const auto sent = driver.One<send_attempt>();
+      const bool is_slow = sent.endpoint == "booking-0";
+      slow += i >= 100 && is_slow ? 1 : 0;
+      driver.Advance(is_slow ? milliseconds(200) : milliseconds(10));
+      driver.Handle(response_received{sent.attempt, 200, "text/plain", "ok"});
+    }
+    // In turn it gets a quarter of 100 calls; ejected it gets probes only.
+    EXPECT_EQ(slow == 25, !eject);
+    EXPECT_LE(slow, eject ? 5 : 25);
+  }
+}
+
 // Guards against late, crossed and repeated events that change the state of another request.
 TEST(RequestEngineRules, IgnoresAndCountsEventsForUnknownAttempts) {
   engine_driver driver(1);
--- a/tests/decision/request_engine_test.cc
+++ b/tests/decision/request_engine_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <random>
 #include <vector>
 
 #include "decision/world/fake_world.h"
@@ -47,4 +48,27 @@
   CheckRun(GenScript(3), {});
 }
 
+// Guards against a promise that holds only thanks to a policy; the baselines must keep it too.
+RC_GTEST_PROP(RequestEngine, KeepsPromisesWithBaselinePolicies, ()) {
+  engine_options options;
+  options.selector =
+      *rc::gen::element(selector_choice::kRoundRobin, selector_choice::kLeastReportedLoad);
+  options.fair_queue = options.memory_admission = options.eject_outliers = false;
+  options.isolate_suspects = options.hedge_reads = options.limit_concurrency = false;
+  options.demote_long_work = false;
+  CheckRun(GenScript(2), options);
+}
+
+// Guards against decisions that depend on anything but events, times and seed.
+TEST(RequestEngine, SameScriptGivesTheSameRun) {
+  std::mt19937_64 random(7);
+  const world_script script = world_script::Random(random);
+  fake_world first(script, {});
+  fake_world second(script, {});
+  first.Run();
+  second.Run();
+  EXPECT_EQ(first.events(), second.events());
+  EXPECT_EQ(first.completed(), second.completed());
+}
+
 }  // namespace tarragon::decision
--- a/tests/decision/world/fake_world.cc
+++ b/tests/decision/world/fake_world.cc
@@ -540,21 +540,18 @@
         });
 }
 
-void fake_world::Apply(std::size_t entry, const complete_claim& what) {
-  if (now_ < outage_until_) {
-    After(kTickInterval, [this, entry, what] { Apply(entry, what); });
-  } else {
-    claims_.Complete(what);
-  }
+void fake_world::Apply(std::size_t, const complete_claim& what) {
+  AfterOutage([this, what] { claims_.Complete(what); });
 }
 
-void fake_world::Apply(std::size_t entry, const release_claim& what) {
+void fake_world::Apply(std::size_t, const release_claim& what) {
   truth_.Released(what.account + "/" + what.key, what.claim_token);
-  if (now_ < outage_until_) {
-    After(kTickInterval, [this, entry, what] { Apply(entry, what); });
-  } else {
-    claims_.Release(what);
-  }
+  AfterOutage([this, what] { claims_.Release(what); });
+}
+
+void fake_world::AfterOutage(std::function<void()> run) {
+  After(std::chrono::ceil<milliseconds>(std::max(outage_until_ - now_, duration::zero())),
+        std::move(run));
 }
 
 template <typename ToCaller>
@@ -612,11 +609,18 @@
   run();
 }
 
+bool fake_world::Declines(const connection_ptr& link) {
+  const endpoint_fake& endpoint = endpoints_[link->endpoint];
+  link->answered = now_ < endpoint.declines_until || endpoint.Running() >= kSlots;
+  if (link->answered) {
+    ToEntry(link, attempt_declined{link->attempt, milliseconds(50), false, "full"});
+  }
+  return link->answered;
+}
+
 void fake_world::TakeRequest(const connection_ptr& link, std::uint64_t caller) {
   endpoint_fake& endpoint = endpoints_[link->endpoint];
-  if (now_ < endpoint.declines_until || endpoint.Running() >= kSlots) {
-    link->answered = true;
-    ToEntry(link, attempt_declined{link->attempt, milliseconds(50), false, "full"});
+  if (Declines(link)) {
     return;
   }
   const planned_request& plan = script_.requests[caller];
@@ -625,7 +629,6 @@
   link->attached = true;
   ToEntry(link, attempt_accepted{link->attempt});
   if (plan.crashes) {
-    ++crash_deaths_;
     After(milliseconds(Between(0, 30)),
           [this, index = link->endpoint] { Kill(index, milliseconds(1000)); });
   }
@@ -634,9 +637,7 @@
 
 void fake_world::TakeCall(const connection_ptr& link, std::uint64_t caller) {
   endpoint_fake& endpoint = endpoints_[link->endpoint];
-  if (now_ < endpoint.declines_until) {
-    link->answered = true;
-    ToEntry(link, attempt_declined{link->attempt, milliseconds(50), false, "full"});
+  if (Declines(link)) {
     return;
   }
   const caller_fake& who = callers_.at(link->request);
--- a/tests/decision/world/fake_world.h
+++ b/tests/decision/world/fake_world.h
@@ -37,7 +37,6 @@
   const std::vector<std::string>& violations() const { return truth_.violations(); }
   std::uint64_t events() const { return events_; }
   std::uint64_t completed() const { return completed_; }
-  std::uint32_t deaths() const { return crash_deaths_; }
 
  private:
   struct entry_process {
@@ -111,6 +110,7 @@
   void Apply(std::size_t entry, const write_claim& what);
   void Apply(std::size_t entry, const complete_claim& what);
   void Apply(std::size_t entry, const release_claim& what);
+  void AfterOutage(std::function<void()> run);
   template <typename ToCaller>
   void Apply(std::size_t entry, const ToCaller& what);
 
@@ -124,6 +124,7 @@
   bool Reachable(const connection& link) const;
   /** Runs at the endpoint now, or once it is not frozen any more. */
   void AtEndpoint(std::size_t endpoint, std::function<void()> run);
+  bool Declines(const connection_ptr& link);
   void TakeRequest(const connection_ptr& link, std::uint64_t caller);
   void TakeCall(const connection_ptr& link, std::uint64_t caller);
   void TakeResume(const connection_ptr& link);
@@ -155,7 +156,6 @@
   std::uint64_t document_version_ = 0;
   std::uint64_t events_ = 0;
   std::uint64_t completed_ = 0;
-  std::uint32_t crash_deaths_ = 0;
   std::size_t unplayed_ = 0;
 };
 
