Do not take silence for a loss after earlier failed connects

Change: only a failed connect makes use of the time since connects fail. The fake world now checks that no request has a second generation while one runs; a test of the single rule fails without the change.

--- a/src/decision/retry_handler.cc
+++ b/src/decision/retry_handler.cc
@@ -44,7 +44,9 @@
   facts.on_loss = EffectiveRule(record);
   facts.tokens_delivered = record.cursor.first_held();
   facts.attempts = record.sends;
-  facts.unreachable_for = core_.endpoints.UnreachableFor(core_.now, attempt.endpoint);
+  if (end == policy::attempt_end::kConnectFailed) {
+    facts.unreachable_for = core_.endpoints.UnreachableFor(core_.now, attempt.endpoint);
+  }
   facts.suspect_deaths = core_.policies.suspects.Deaths(record.facts.content);
   facts.other_attempt_in_flight = record.attempts.size() > 1;
   facts.deadline = record.deadline;
@@ -61,9 +63,11 @@
                             policy::attempt_end end,
                             run_verdict verdict,
                             std::string message) {
+  // Only a failed connect proves that the endpoint is still out of reach; after silence the
+  // earlier failures say nothing of now.
   const bool unreachable =
-      core_.endpoints.UnreachableFor(core_.now, attempt.endpoint) >= core_.options.loss_timeout ||
-      core_.endpoints.Find(attempt.endpoint) == nullptr;
+      end == policy::attempt_end::kConnectFailed &&
+      core_.endpoints.UnreachableFor(core_.now, attempt.endpoint) >= core_.options.loss_timeout;
   if (verdict != run_verdict::kNotRun && unreachable) {
     end = policy::attempt_end::kGenerationLost;
   }
--- a/tests/decision/request_engine_rules_test.cc
+++ b/tests/decision/request_engine_rules_test.cc
@@ -165,6 +165,22 @@
   }
 }
 
+// Guards against a second generation after silence at an endpoint that failed connects before.
+TEST(RequestEngineRules, SilenceIsNoLossEvenAfterEarlierFailedConnects) {
+  engine_driver driver(1);
+  driver.Handle(request_arrived{driver.Generation("restart")});
+  const auto failed = driver.One<send_attempt>();
+  driver.Handle(
+      attempt_failed{failed.attempt, run_verdict::kNotRun, failure_cause::kConnectFailed});
+  driver.Advance(milliseconds(600));
+  const auto sent = driver.One<send_attempt>();
+  driver.Advance(seconds(4));
+  driver.Handle(attempt_failed{sent.attempt, run_verdict::kMayHaveRun, failure_cause::kSilent});
+  driver.Advance(milliseconds(100));
+  EXPECT_EQ(driver.One<resume_attempt>().generation, sent.generation);
+  EXPECT_TRUE(driver.All<send_attempt>().empty());
+}
+
 // Guards against work for an endpoint that is about to go, and against streams cut off by that.
 TEST(RequestEngineRules, LeavingEndpointIsResumedButGetsNoNewWork) {
   engine_driver driver(1);
--- a/tests/decision/world/endpoint_fake.h
+++ b/tests/decision/world/endpoint_fake.h
@@ -13,6 +13,7 @@
 /** State of one endpoint; the world moves it. */
 struct endpoint_fake {
   struct generation_state {
+    request_id request;
     std::uint64_t caller = 0;
     std::uint32_t produced = 0;
     std::uint32_t total = 0;
--- a/tests/decision/world/fake_world.cc
+++ b/tests/decision/world/fake_world.cc
@@ -510,6 +510,21 @@
   }
 }
 
+void fake_world::CheckNoneRuns(request_id request) {
+  for (const endpoint_fake& endpoint : endpoints_) {
+    // Silence is no reason for a second generation; an endpoint that cannot be reached is one.
+    if (endpoint.removed || now_ < endpoint.unreachable_until + 4 * kLeavingTimeout) {
+      continue;
+    }
+    for (const auto& [id, state] : endpoint.generations) {
+      if (state.request == request && !state.done()) {
+        truth_.Violate(
+            fmt::format("request {}: second generation while {} runs", request.value, id));
+      }
+    }
+  }
+}
+
 void fake_world::Apply(std::size_t entry, const close_attempt& what) {
   if (const connection_ptr link = FindConnection(entry, what.attempt)) {
     link->open = false;
@@ -624,7 +639,8 @@
     return;
   }
   const planned_request& plan = script_.requests[caller];
-  endpoint.generations[link->generation] = {caller, 0, plan.tokens, false};
+  CheckNoneRuns(link->request);
+  endpoint.generations[link->generation] = {link->request, caller, 0, plan.tokens, false};
   truth_.Generated(caller, link->generation, plan.tokens);
   link->attached = true;
   ToEntry(link, attempt_accepted{link->attempt});
