--- a/tests/decision/world/fake_world.cc
+++ b/tests/decision/world/fake_world.cc
@@ -324,7 +324,7 @@
       Kill(endpoint, fault.lasts);
       break;
     case fault_kind::kEndpointFreezes:
-      endpoints_[endpoint].frozen_until = until;
+      endpoints_[endpoint].frozen_until = std::max(endpoints_[endpoint].frozen_until, until);
       break;
     case fault_kind::kConnectionsSilent:
       for (const auto& [key, link] : connections_) {
@@ -510,6 +510,24 @@
   }
 }
 
+void fake_world::CheckNoneRuns(const connection& link) {
+  const auto was_reachable = [this](const endpoint_fake& endpoint) {
+    return !endpoint.removed && now_ >= endpoint.unreachable_until + 4 * kLeavingTimeout;
+  };
+  for (const endpoint_fake& endpoint : endpoints_) {
+    // Silence is no reason for a second generation; an endpoint that cannot be reached is one.
+    if (!was_reachable(endpoint) || !was_reachable(endpoints_[link.endpoint])) {
+      continue;
+    }
+    for (const auto& [id, state] : endpoint.generations) {
+      if (state.request == link.request && !state.done()) {
+        truth_.Violate(
+            fmt::format("request {}: second generation while {} runs", link.request.value, id));
+      }
+    }
+  }
+}
+
 void fake_world::Apply(std::size_t entry, const close_attempt& what) {
   if (const connection_ptr link = FindConnection(entry, what.attempt)) {
     link->open = false;
@@ -540,21 +558,18 @@
         });
 }
 
-void fake_world::Apply(std::size_t entry, const complete_claim& what) {
-  if (now_ < outage_until_) {
-    After(kTickInterval, [this, entry, what] { Apply(entry, what); });
-  } else {
-    claims_.Complete(what);
-  }
+void fake_world::Apply(std::size_t, const complete_claim& what) {
+  AfterOutage([this, what] { claims_.Complete(what); });
 }
 
-void fake_world::Apply(std::size_t entry, const release_claim& what) {
+void fake_world::Apply(std::size_t, const release_claim& what) {
   truth_.Released(what.account + "/" + what.key, what.claim_token);
-  if (now_ < outage_until_) {
-    After(kTickInterval, [this, entry, what] { Apply(entry, what); });
-  } else {
-    claims_.Release(what);
-  }
+  AfterOutage([this, what] { claims_.Release(what); });
+}
+
+void fake_world::AfterOutage(std::function<void()> run) {
+  After(std::chrono::ceil<milliseconds>(std::max(outage_until_ - now_, duration::zero())),
+        std::move(run));
 }
 
 template <typename ToCaller>
@@ -612,20 +627,27 @@
   run();
 }
 
+bool fake_world::Declines(const connection_ptr& link) {
+  const endpoint_fake& endpoint = endpoints_[link->endpoint];
+  link->answered = now_ < endpoint.declines_until || endpoint.Running() >= kSlots;
+  if (link->answered) {
+    ToEntry(link, attempt_declined{link->attempt, milliseconds(50), false, "full"});
+  }
+  return link->answered;
+}
+
 void fake_world::TakeRequest(const connection_ptr& link, std::uint64_t caller) {
   endpoint_fake& endpoint = endpoints_[link->endpoint];
-  if (now_ < endpoint.declines_until || endpoint.Running() >= kSlots) {
-    link->answered = true;
-    ToEntry(link, attempt_declined{link->attempt, milliseconds(50), false, "full"});
+  if (Declines(link)) {
     return;
   }
   const planned_request& plan = script_.requests[caller];
-  endpoint.generations[link->generation] = {caller, 0, plan.tokens, false};
+  CheckNoneRuns(*link);
+  endpoint.generations[link->generation] = {link->request, caller, 0, plan.tokens, false};
   truth_.Generated(caller, link->generation, plan.tokens);
   link->attached = true;
   ToEntry(link, attempt_accepted{link->attempt});
   if (plan.crashes) {
-    ++crash_deaths_;
     After(milliseconds(Between(0, 30)),
           [this, index = link->endpoint] { Kill(index, milliseconds(1000)); });
   }
@@ -634,9 +656,7 @@
 
 void fake_world::TakeCall(const connection_ptr& link, std::uint64_t caller) {
   endpoint_fake& endpoint = endpoints_[link->endpoint];
-  if (now_ < endpoint.declines_until) {
-    link->answered = true;
-    ToEntry(link, attempt_declined{link->attempt, milliseconds(50), false, "full"});
+  if (Declines(link)) {
     return;
   }
   const caller_fake& who = callers_.at(link->request);
