--- a/include/tarragon/net/core_thread.h
+++ b/include/tarragon/net/core_thread.h
@@ -41,7 +41,7 @@
   /** Takes a claim action without waiting. @return false if it cannot be taken now. */
   using claim_sink = std::function<bool(const claim_action&)>;
 
-  core_thread(core_options options, claim_sink claims, const clock& time, metrics& counters);
+  core_thread(const core_options& options, claim_sink claims, const clock& time, metrics& counters);
   ~core_thread();
 
   void Start();
--- a/src/net/core_thread.cc
+++ b/src/net/core_thread.cc
@@ -30,7 +30,7 @@
 }  // namespace
 
 struct core_thread::state {
-  state(core_options core, claim_sink claim_target, const clock& source, metrics& counters)
+  state(const core_options& core, claim_sink claim_target, const clock& source, metrics& counters)
       : options(core),
         claims(std::move(claim_target)),
         time(source),
@@ -121,7 +121,7 @@
                                                   decision::failure_cause::kConnectFailed});
   }
 
-  void Perform(const decision::send_attempt& send) {
+  void Perform(decision::send_attempt& send) {
     const auto found = requests.find(send.request);
     if (found == requests.end() ||
         !links.Send(found->second.request, send, Address(send.endpoint))) {
@@ -129,25 +129,24 @@
     }
   }
 
-  void Perform(const decision::resume_attempt& resume) {
+  void Perform(decision::resume_attempt& resume) {
     if (!links.Resume(resume, Address(resume.endpoint))) {
       NotSent(resume.attempt);
     }
   }
 
-  void Perform(const decision::cancel_attempt& cancel) {
+  void Perform(decision::cancel_attempt& cancel) {
     if (!links.Cancel(cancel, Address(cancel.endpoint))) {
       follow_ups.push_back(decision::cancel_observed{cancel.attempt, false});
     }
   }
 
-  void Perform(const decision::close_attempt& close) { links.Close(close.attempt); }
+  void Perform(decision::close_attempt& close) { links.Close(close.attempt); }
 
-  void Perform(decision::start_stream& start) { Deliver(start.request, std::move(start)); }
-  void Perform(decision::deliver_token& token) { Deliver(token.request, std::move(token)); }
-  void Perform(decision::restart_stream& restart) { Deliver(restart.request, std::move(restart)); }
-  void Perform(decision::deliver_response& response) {
-    Deliver(response.request, std::move(response));
+  template <typename T>
+  void Perform(T& message) {
+    const request_id id = message.request;
+    Deliver(id, std::move(message));
   }
   void Perform(decision::finish_request& finish) {
     const request_id id = finish.request;
@@ -169,7 +168,7 @@
     }
   }
 
-  void Perform(const decision::write_claim& claim) {
+  void Perform(decision::write_claim& claim) {
     if (!claims(claim)) {
       decision::claim_answered answer;
       answer.request = claim.request;
@@ -177,8 +176,8 @@
       follow_ups.push_back(std::move(answer));
     }
   }
-  void Perform(const decision::complete_claim& claim) { KeepClaim(claim); }
-  void Perform(const decision::release_claim& claim) { KeepClaim(claim); }
+  void Perform(decision::complete_claim& claim) { KeepClaim(claim); }
+  void Perform(decision::release_claim& claim) { KeepClaim(claim); }
 
   void KeepClaim(claim_action claim) {
     if (!unwritten.empty() || !claims(claim)) {
@@ -213,7 +212,7 @@
   std::thread thread;
 };
 
-core_thread::core_thread(core_options options,
+core_thread::core_thread(const core_options& options,
                          claim_sink claims,
                          const clock& time,
                          metrics& counters)
--- a/src/net/entry_process.cc
+++ b/src/net/entry_process.cc
@@ -1,5 +1,7 @@
 #include "tarragon/net/entry_process.h"
 
+#include <sys/resource.h>
+
 #include <atomic>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -137,6 +139,7 @@
       response.status = ready() ? kHttpOk : kHttpUnavailable;
       response.set_content(ready() ? "ready\n" : "not ready\n", "text/plain");
     } else if (request.path == "/metrics") {
+      RecordCpu();
       response.set_content(counters.Expose(), "text/plain; version=0.0.4");
     } else if (request.path == "/admin/status") {
       ShowStatus(request, response);
@@ -147,6 +150,17 @@
     response.set_header("Run-Verdict", std::string(ToString(run_verdict::kNotRun)));
   }
 
+  void RecordCpu() {
+    rusage usage{};
+    ::getrusage(RUSAGE_SELF, &usage);
+    const auto ms = [](const timeval& t) {
+      return std::int64_t{t.tv_sec} * 1000 + t.tv_usec / 1000;
+    };
+    counters.Counter("tarragon_process_cpu_milliseconds")
+        .Set(ms(usage.ru_utime) + ms(usage.ru_stime));
+    counters.Gauge("tarragon_process_peak_memory_kilobytes").Set(usage.ru_maxrss);
+  }
+
   bool IsTeam(const httplib::Request& request) const {
     const auto token = BearerToken(request.get_header_value("Authorization"));
     const std::string hash = token ? Sha256Hex(*token) : std::string();
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -28,6 +28,7 @@
 constexpr int kListenBacklog = 1024;
 constexpr std::size_t kMaxRequestsPerConnection = 1'000'000;
 constexpr std::size_t kReadBufferBytes = 4096;
+constexpr std::chrono::milliseconds kPeerCheckInterval{100};
 // A waiting connection looks this often whether the server stops.
 constexpr std::chrono::milliseconds kIdlePollInterval{50};
 // After an early refusal the rest of the request is read up to these bounds, because closing a
@@ -82,6 +83,13 @@
   // httplib::Stream
   bool is_readable() const override { return HasBuffered() || WaitFor(socket_, POLLIN, {}); }
   bool is_writable() const override {
+    // The library asks before each write. Writes report a broken connection by themselves, so that
+    // the system calls for an orderly close are made only now and then.
+    const auto now = steady::now();
+    if (now < next_check_) {
+      return true;
+    }
+    next_check_ = now + kPeerCheckInterval;
     return !IsPeerGone() && WaitFor(socket_, POLLOUT, options_.write_timeout);
   }
   ssize_t read(char* target, std::size_t size) override {
@@ -174,6 +182,7 @@
   std::array<char, kReadBufferBytes> buffer_{};
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
+  mutable steady::time_point next_check_;
   std::size_t header_bytes_ = 0;
   std::size_t body_bytes_ = 0;
   bool in_headers_ = false;
