--- a/src/net/core_thread.cc
+++ b/src/net/core_thread.cc
@@ -25,6 +25,7 @@
   decision::event what;
   /** Set for a new request only. */
   open_request_ptr request;
+  time_point pushed;
 };
 
 }  // namespace
@@ -39,10 +40,12 @@
         callers_dropped(counters.Counter("tarragon_callers_dropped_total")),
         ring_full(counters.Counter("tarragon_core_ring_full_total")),
         open_gauge(counters.Gauge("tarragon_open_requests")),
+        ring_wait(counters.Latency("tarragon_core_ring_wait_seconds")),
+        handling(counters.Latency("tarragon_core_handling_seconds")),
         links(
             core.upstream,
             [this](decision::event&& what) {
-              ring.Push({std::move(what), nullptr});
+              ring.Push({std::move(what), nullptr, time.Now()});
             },
             source,
             counters) {}
@@ -59,10 +62,13 @@
       time_point now = time.Now();
       if (now < next_tick) {
         if (auto input = ring.Pop(next_tick - now)) {
+          now = time.Now();
+          ring_wait.Record(now - input->pushed);
           if (input->request) {
             requests[input->request->facts.request] = {input->request, false};
           }
           Handle(input->what);
+          handling.Record(time.Now() - now);
         }
         continue;
       }
@@ -199,6 +205,8 @@
   counter& callers_dropped;
   counter& ring_full;
   counter& open_gauge;
+  latency_histogram& ring_wait;
+  latency_histogram& handling;
   std::unordered_map<request_id, open_entry> requests;
   std::unordered_map<std::string, std::string> addresses;
   std::vector<decision::action> actions;
@@ -239,7 +247,7 @@
 }
 
 bool core_thread::TryOpen(open_request_ptr request, decision::event arrival) {
-  if (state_->ring.TryPush({std::move(arrival), std::move(request)})) {
+  if (state_->ring.TryPush({std::move(arrival), std::move(request), state_->time.Now()})) {
     return true;
   }
   state_->ring_full.Add();
@@ -247,7 +255,7 @@
 }
 
 bool core_thread::Post(decision::event what) {
-  return state_->ring.Push({std::move(what), nullptr});
+  return state_->ring.Push({std::move(what), nullptr, state_->time.Now()});
 }
 
 std::size_t core_thread::OpenRequests() const {
