--- a/include/tarragon/net/entry_process.h
+++ b/include/tarragon/net/entry_process.h
@@ -26,10 +26,10 @@
    * @param initial document to start with; may be null.
    * @return false if an address cannot be bound.
    */
-  bool Start(document::document_ptr initial);
+  bool Start(const document::document_ptr& initial);
 
   /** Puts a newer document in force. Older ones are ignored. */
-  void ChangeDocument(document::document_ptr next);
+  void ChangeDocument(const document::document_ptr& next);
 
   /** @return port that callers connect to. */
   int callers_port() const;
--- a/src/net/core_thread.cc
+++ b/src/net/core_thread.cc
@@ -42,6 +42,7 @@
         open_gauge(counters.Gauge("tarragon_open_requests")),
         ring_wait(counters.Latency("tarragon_core_ring_wait_seconds")),
         handling(counters.Latency("tarragon_core_handling_seconds")),
+        deciding(counters.Latency("tarragon_core_deciding_seconds")),
         links(
             core.upstream,
             [this](decision::event&& what) {
@@ -111,7 +112,9 @@
       }
     }
     actions.clear();
-    engine.Handle(time.Now(), what, actions);
+    const time_point start = time.Now();
+    engine.Handle(start, what, actions);
+    deciding.Record(time.Now() - start);
     for (decision::action& action : actions) {
       std::visit([this](auto& one) { Perform(one); }, action);
     }
@@ -207,6 +210,7 @@
   counter& open_gauge;
   latency_histogram& ring_wait;
   latency_histogram& handling;
+  latency_histogram& deciding;
   std::unordered_map<request_id, open_entry> requests;
   std::unordered_map<std::string, std::string> addresses;
   std::vector<decision::action> actions;
--- a/src/net/entry_process.cc
+++ b/src/net/entry_process.cc
@@ -217,7 +217,7 @@
   Stop();
 }
 
-bool entry_process::Start(document::document_ptr initial) {
+bool entry_process::Start(const document::document_ptr& initial) {
   const auto address = socket_address::Make(state_->settings.callers_address);
   if (!address || !state_->server.Bind(*address)) {
     LogEvent("bind_failed", {{"address", state_->settings.callers_address}});
@@ -226,7 +226,7 @@
   state_->core.Start();
   state_->started = true;
   if (initial) {
-    ChangeDocument(std::move(initial));
+    ChangeDocument(initial);
   }
   if (state_->calls) {
     state_->calls->Start();
@@ -237,7 +237,7 @@
   return true;
 }
 
-void entry_process::ChangeDocument(document::document_ptr next) {
+void entry_process::ChangeDocument(const document::document_ptr& next) {
   state_->documents.Offer(state_->time.Now(), next);
 }
 
--- a/src/net/upstream.cc
+++ b/src/net/upstream.cc
@@ -310,12 +310,12 @@
       Fail(attempt, run_verdict::kMayHaveRun, decision::failure_cause::kBadAnswer);
     } else if (status == kHttpOk || status == 0) {
       ReportBroken(attempt, error, time.Now() - last_byte, options.silence_timeout);
-    } else if (resumes && status == kHttpNotFound) {
-      Fail(attempt, run_verdict::kMayHaveRun, decision::failure_cause::kGenerationUnknown);
-    } else if (resumes) {
-      Fail(attempt, run_verdict::kMayHaveRun, decision::failure_cause::kBadAnswer);
-    } else {
+    } else if (!resumes) {
       ReportStatus(attempt, response, error_body);
+    } else {
+      Fail(attempt, run_verdict::kMayHaveRun,
+           status == kHttpNotFound ? decision::failure_cause::kGenerationUnknown
+                                   : decision::failure_cause::kBadAnswer);
     }
   }
 
--- a/src/settings/entry_settings.cc
+++ b/src/settings/entry_settings.cc
@@ -89,7 +89,7 @@
 
 void ReadLimits(settings_table table, limit_settings& limits) {
   constexpr std::int64_t kMinute = 60'000;
-  constexpr std::int64_t kDay = 24 * 60 * kMinute;
+  constexpr std::int64_t kDay = kMinute * 60 * 24;
   table.Integer("max_connections", 1, 16384, limits.max_connections);
   table.Integer("max_attempts", 1, 16384, limits.max_attempts);
   table.Integer("max_queued", 0, 1'000'000, limits.max_queued);
--- a/tests/net/upstream_test.cc
+++ b/tests/net/upstream_test.cc
@@ -243,7 +243,7 @@
 TEST(Upstream, SaysWhenNoThreadIsFree) {
   fixture f([](const std::string&, raw_connection& c) {
     c.Write(kStreamHeader);
-    for (int i = 0; c.Write(": keep-alive\n\n"); ++i) {
+    while (c.Write(": keep-alive\n\n")) {
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
   });
--- a/tools/measure_latency.sh
+++ b/tools/measure_latency.sh
@@ -71,4 +71,4 @@
 "$build/bin/tarragon-load" --mode latency --entry "127.0.0.1:$port" --endpoints "$list" \
   --token load-token --streams "$streams" --tokens "$tokens" --marks "$marks"
 # How long an event waited for the core thread, and how long the core thread took for it.
-curl -s "http://127.0.0.1:$port/metrics" | grep -E '^tarragon_core_(ring_wait|handling)_seconds'
+curl -s "http://127.0.0.1:$port/metrics" | grep -E '^tarragon_core_(ring_wait|handling|deciding)_seconds'
