--- a/src/net/core_thread.cc
+++ b/src/net/core_thread.cc
@@ -25,12 +25,13 @@
   decision::event what;
   /** Set for a new request only. */
   open_request_ptr request;
+  time_point pushed;
 };
 
 }  // namespace
 
 struct core_thread::state {
-  state(core_options core, claim_sink claim_target, const clock& source, metrics& counters)
+  state(const core_options& core, claim_sink claim_target, const clock& source, metrics& counters)
       : options(core),
         claims(std::move(claim_target)),
         time(source),
@@ -39,10 +40,13 @@
         callers_dropped(counters.Counter("tarragon_callers_dropped_total")),
         ring_full(counters.Counter("tarragon_core_ring_full_total")),
         open_gauge(counters.Gauge("tarragon_open_requests")),
+        ring_wait(counters.Latency("tarragon_core_ring_wait_seconds")),
+        handling(counters.Latency("tarragon_core_handling_seconds")),
+        deciding(counters.Latency("tarragon_core_deciding_seconds")),
         links(
             core.upstream,
             [this](decision::event&& what) {
-              ring.Push({std::move(what), nullptr});
+              ring.Push({std::move(what), nullptr, time.Now()});
             },
             source,
             counters) {}
@@ -59,10 +63,13 @@
       time_point now = time.Now();
       if (now < next_tick) {
         if (auto input = ring.Pop(next_tick - now)) {
+          now = time.Now();
+          ring_wait.Record(now - input->pushed);
           if (input->request) {
             requests[input->request->facts.request] = {input->request, false};
           }
           Handle(input->what);
+          handling.Record(time.Now() - now);
         }
         continue;
       }
@@ -105,7 +112,9 @@
       }
     }
     actions.clear();
-    engine.Handle(time.Now(), what, actions);
+    const time_point start = time.Now();
+    engine.Handle(start, what, actions);
+    deciding.Record(time.Now() - start);
     for (decision::action& action : actions) {
       std::visit([this](auto& one) { Perform(one); }, action);
     }
@@ -121,7 +130,7 @@
                                                   decision::failure_cause::kConnectFailed});
   }
 
-  void Perform(const decision::send_attempt& send) {
+  void Perform(decision::send_attempt& send) {
     const auto found = requests.find(send.request);
     if (found == requests.end() ||
         !links.Send(found->second.request, send, Address(send.endpoint))) {
@@ -129,25 +138,24 @@
     }
   }
 
-  void Perform(const decision::resume_attempt& resume) {
+  void Perform(decision::resume_attempt& resume) {
     if (!links.Resume(resume, Address(resume.endpoint))) {
       NotSent(resume.attempt);
     }
   }
 
-  void Perform(const decision::cancel_attempt& cancel) {
+  void Perform(decision::cancel_attempt& cancel) {
     if (!links.Cancel(cancel, Address(cancel.endpoint))) {
       follow_ups.push_back(decision::cancel_observed{cancel.attempt, false});
     }
   }
 
-  void Perform(const decision::close_attempt& close) { links.Close(close.attempt); }
+  void Perform(decision::close_attempt& close) { links.Close(close.attempt); }
 
-  void Perform(decision::start_stream& start) { Deliver(start.request, std::move(start)); }
-  void Perform(decision::deliver_token& token) { Deliver(token.request, std::move(token)); }
-  void Perform(decision::restart_stream& restart) { Deliver(restart.request, std::move(restart)); }
-  void Perform(decision::deliver_response& response) {
-    Deliver(response.request, std::move(response));
+  template <typename T>
+  void Perform(T& message) {
+    const request_id id = message.request;
+    Deliver(id, std::move(message));
   }
   void Perform(decision::finish_request& finish) {
     const request_id id = finish.request;
@@ -169,7 +177,7 @@
     }
   }
 
-  void Perform(const decision::write_claim& claim) {
+  void Perform(decision::write_claim& claim) {
     if (!claims(claim)) {
       decision::claim_answered answer;
       answer.request = claim.request;
@@ -177,8 +185,8 @@
       follow_ups.push_back(std::move(answer));
     }
   }
-  void Perform(const decision::complete_claim& claim) { KeepClaim(claim); }
-  void Perform(const decision::release_claim& claim) { KeepClaim(claim); }
+  void Perform(decision::complete_claim& claim) { KeepClaim(claim); }
+  void Perform(decision::release_claim& claim) { KeepClaim(claim); }
 
   void KeepClaim(claim_action claim) {
     if (!unwritten.empty() || !claims(claim)) {
@@ -200,6 +208,9 @@
   counter& callers_dropped;
   counter& ring_full;
   counter& open_gauge;
+  latency_histogram& ring_wait;
+  latency_histogram& handling;
+  latency_histogram& deciding;
   std::unordered_map<request_id, open_entry> requests;
   std::unordered_map<std::string, std::string> addresses;
   std::vector<decision::action> actions;
@@ -213,7 +224,7 @@
   std::thread thread;
 };
 
-core_thread::core_thread(core_options options,
+core_thread::core_thread(const core_options& options,
                          claim_sink claims,
                          const clock& time,
                          metrics& counters)
@@ -240,7 +251,7 @@
 }
 
 bool core_thread::TryOpen(open_request_ptr request, decision::event arrival) {
-  if (state_->ring.TryPush({std::move(arrival), std::move(request)})) {
+  if (state_->ring.TryPush({std::move(arrival), std::move(request), state_->time.Now()})) {
     return true;
   }
   state_->ring_full.Add();
@@ -248,7 +259,7 @@
 }
 
 bool core_thread::Post(decision::event what) {
-  return state_->ring.Push({std::move(what), nullptr});
+  return state_->ring.Push({std::move(what), nullptr, state_->time.Now()});
 }
 
 std::size_t core_thread::OpenRequests() const {
--- a/src/net/entry_process.cc
+++ b/src/net/entry_process.cc
@@ -1,5 +1,7 @@
 #include "tarragon/net/entry_process.h"
 
+#include <sys/resource.h>
+
 #include <atomic>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -137,6 +139,7 @@
       response.status = ready() ? kHttpOk : kHttpUnavailable;
       response.set_content(ready() ? "ready\n" : "not ready\n", "text/plain");
     } else if (request.path == "/metrics") {
+      RecordCpu();
       response.set_content(counters.Expose(), "text/plain; version=0.0.4");
     } else if (request.path == "/admin/status") {
       ShowStatus(request, response);
@@ -147,6 +150,17 @@
     response.set_header("Run-Verdict", std::string(ToString(run_verdict::kNotRun)));
   }
 
+  void RecordCpu() {
+    rusage usage{};
+    ::getrusage(RUSAGE_SELF, &usage);
+    const auto ms = [](const timeval& t) {
+      return std::int64_t{t.tv_sec} * 1000 + t.tv_usec / 1000;
+    };
+    counters.Counter("tarragon_process_cpu_milliseconds")
+        .Set(ms(usage.ru_utime) + ms(usage.ru_stime));
+    counters.Gauge("tarragon_process_peak_memory_kilobytes").Set(usage.ru_maxrss);
+  }
+
   bool IsTeam(const httplib::Request& request) const {
     const auto token = BearerToken(request.get_header_value("Authorization"));
     const std::string hash = token ? Sha256Hex(*token) : std::string();
@@ -203,7 +217,7 @@
   Stop();
 }
 
-bool entry_process::Start(document::document_ptr initial) {
+bool entry_process::Start(const document::document_ptr& initial) {
   const auto address = socket_address::Make(state_->settings.callers_address);
   if (!address || !state_->server.Bind(*address)) {
     LogEvent("bind_failed", {{"address", state_->settings.callers_address}});
@@ -212,7 +226,7 @@
   state_->core.Start();
   state_->started = true;
   if (initial) {
-    ChangeDocument(std::move(initial));
+    ChangeDocument(initial);
   }
   if (state_->calls) {
     state_->calls->Start();
@@ -223,7 +237,7 @@
   return true;
 }
 
-void entry_process::ChangeDocument(document::document_ptr next) {
+void entry_process::ChangeDocument(const document::document_ptr& next) {
   state_->documents.Offer(state_->time.Now(), next);
 }
 
