--- /dev/null
+++ b/include/tarragon/net/engine_client.h
@@ -0,0 +1,33 @@
+#ifndef TARRAGON_NET_ENGINE_CLIENT_H_
+#define TARRAGON_NET_ENGINE_CLIENT_H_
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "tarragon/control/engine_order.h"
+
+namespace tarragon::net {
+
+/** Reads the state of model engines and sends them orders, over HTTP. Safe from any thread. */
+class engine_client final {
+ public:
+  /** @param timeout bound on connecting and on the engine's silence. */
+  explicit engine_client(std::chrono::milliseconds timeout) : timeout_(timeout) {}
+
+  /**
+   * @param address `ip:port`.
+   * @return empty if the engine cannot be reached or its answer cannot be read.
+   */
+  std::optional<control::engine_report> ReadReport(const endpoint_name& endpoint,
+                                                   const std::string& address) const;
+
+  control::order_answer Send(const control::engine_order& order, const std::string& address) const;
+
+ private:
+  const std::chrono::milliseconds timeout_;
+};
+
+}  // namespace tarragon::net
+
+#endif  // TARRAGON_NET_ENGINE_CLIENT_H_
