--- a/tests/decision/world/fake_world.cc
+++ b/tests/decision/world/fake_world.cc
@@ -62,7 +62,7 @@
 }  // namespace
 
 fake_world::fake_world(world_script script, engine_options options)
-    : script_(std::move(script)), options_(options), random_(script_.seed) {
+    : script_(std::move(script)), options_(std::move(options)), random_(script_.seed) {
   now_ = time_point(std::chrono::hours(1));
   faults_end_ = now_;
   for (std::size_t i = 0; i < kModelEndpoints + kPlainEndpoints; ++i) {
@@ -122,8 +122,10 @@
   process.engine = std::make_unique<request_engine>(options_, random_(), *process.counters);
   process.life = ++last_life_;
   process.draining = false;
-  if (document_version_ > 0) {
-    PublishDocument();
+  if (document_ != nullptr) {
+    // An entry is ready once it has a document, and gets no callers before.
+    Handle(entry, document_changed{document_});
+    Handle(entry, LeavingList());
   }
   After(kTickInterval, [this, entry, life = process.life] {
     if (entries_[entry].life == life) {
@@ -187,11 +189,11 @@
                                     .failure_domain = "a"});
     }
   }
-  const auto document =
+  document_ =
       document::operating_document::MakeForTesting(++document_version_, std::move(contents));
   for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
     After(milliseconds(document_version_ == 1 ? 0 : Between(0, 1000)),
-          [this, entry, document] { Handle(entry, document_changed{document}); });
+          [this, entry, document = document_] { Handle(entry, document_changed{document}); });
   }
 }
 
@@ -416,18 +418,20 @@
     PublishDocument();
   }
   for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
-    After(milliseconds(Between(0, 1500)), [this, entry] {
-      vm_list_changed list;
-      for (const endpoint_fake& endpoint : endpoints_) {
-        if (endpoint.leaving_since && !endpoint.removed) {
-          list.leaving.push_back(endpoint.name);
-        }
-      }
-      Handle(entry, list);
-    });
+    After(milliseconds(Between(0, 1500)), [this, entry] { Handle(entry, LeavingList()); });
   }
 }
 
+vm_list_changed fake_world::LeavingList() const {
+  vm_list_changed list;
+  for (const endpoint_fake& endpoint : endpoints_) {
+    if (endpoint.leaving_since && !endpoint.removed) {
+      list.leaving.push_back(endpoint.name);
+    }
+  }
+  return list;
+}
+
 void fake_world::Apply(std::size_t entry, const send_attempt& what) {
   const connection_ptr link =
       Connect(entry, what.request, what.attempt, what.endpoint, what.generation);
@@ -481,6 +485,7 @@
       const auto place = generations.find(link->generation);
       const bool stopped = place != generations.end() && !place->second.done();
       if (stopped) {
+        CheckNobodyReads(link->generation);
         place->second.cancelled = true;
         const auto links = connections_;
         for (const auto& [key, other] : links) {
@@ -492,6 +497,19 @@
   });
 }
 
+void fake_world::CheckNobodyReads(const generation_id& generation) {
+  // Without gossip an entry cannot know that its caller came back elsewhere.
+  if (now_ < gossip_lost_until_ + 2 * kGossipInterval) {
+    return;
+  }
+  for (const auto& [id, caller] : callers_) {
+    if (caller.connected() && !caller.finished() && caller.generation() == generation) {
+      truth_.Violate(
+          fmt::format("caller {}: its generation was cancelled under it", caller.number()));
+    }
+  }
+}
+
 void fake_world::Apply(std::size_t entry, const close_attempt& what) {
   if (const connection_ptr link = FindConnection(entry, what.attempt)) {
     link->open = false;
