--- a/src/net/engine_client.cc
+++ b/src/net/engine_client.cc
@@ -1,5 +1,6 @@
 #include "tarragon/net/engine_client.h"
 
+#include <memory>
 #include <nlohmann/json.hpp>
 
 #include "net/http_library.h"
@@ -13,14 +14,13 @@
 constexpr int kHttpConflict = 409;
 
 // Each call uses a new connection: an order on a kept connection that went silent would be lost.
-std::optional<httplib::ClientImpl> Connect(const std::string& address,
+std::unique_ptr<httplib::ClientImpl> Connect(const std::string& address,
                                            std::chrono::milliseconds timeout) {
   const auto parsed = socket_address::Make(address);
   if (!parsed) {
-    return std::nullopt;
+    return nullptr;
   }
-  std::optional<httplib::ClientImpl> client;
-  client.emplace(parsed->ip, parsed->port);
+  auto client = std::make_unique<httplib::ClientImpl>(parsed->ip, parsed->port);
   client->set_connection_timeout(timeout);
   client->set_read_timeout(timeout);
   client->set_write_timeout(timeout);
--- a/src/settings/entry_settings.cc
+++ b/src/settings/entry_settings.cc
@@ -3,10 +3,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
+#include "settings/settings_file.h"
 #include "settings/settings_table.h"
 
 namespace tarragon::settings {
@@ -17,17 +16,6 @@
 constexpr std::size_t kMinKeyBytes = 32;
 constexpr std::size_t kSha256HexBytes = 64;
 
-bool ReadFile(const std::string& name, std::string& contents) {
-  std::ifstream file(name, std::ios::binary);
-  if (!file) {
-    return false;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  contents = text.str();
-  return !file.bad();
-}
-
 void ReadTickets(settings_table table, entry_settings& settings) {
   std::string key_file;
   table.String("key", need::kOptional, settings.ticket_key);
@@ -35,7 +23,9 @@
   if (table.Has("key") == table.Has("key_file")) {
     table.Fault("key", "expected exactly one of key and key_file");
   } else if (!key_file.empty()) {
-    if (!ReadFile(key_file, settings.ticket_key)) {
+    if (auto key = ReadSettingsFile(key_file, nullptr)) {
+      settings.ticket_key = *std::move(key);
+    } else {
       table.Fault("key_file", fmt::format("expected a readable file, found '{}'", key_file));
     }
     while (!settings.ticket_key.empty() && settings.ticket_key.back() == '\n') {
@@ -164,34 +154,17 @@
 std::optional<entry_settings> entry_settings::Make(std::string_view text,
                                                    const std::string& file,
                                                    std::vector<std::string>* errors) {
-  fault_list faults(file);
   entry_settings settings;
-  const toml::parse_result parsed = toml::parse(text);
-  if (parsed) {
-    ReadAll(parsed.table(), settings, faults);
-  } else {
-    faults.Add(static_cast<int>(parsed.error().source().begin.line), "(file)",
-               fmt::format("expected TOML: {}", parsed.error().description()));
-  }
-  if (errors != nullptr) {
-    *errors = faults.faults();
-  }
-  if (!faults.faults().empty()) {
-    return std::nullopt;
-  }
-  return settings;
+  const bool valid = ParseSettings(text, file, errors, [&](const auto& root, fault_list& faults) {
+    ReadAll(root, settings, faults);
+  });
+  return valid ? std::optional(settings) : std::nullopt;
 }
 
 std::optional<entry_settings> entry_settings::Load(const std::string& file,
                                                    std::vector<std::string>* errors) {
-  std::string text;
-  if (!ReadFile(file, text)) {
-    if (errors != nullptr) {
-      *errors = {fmt::format("{}:0: (file): expected a readable file", file)};
-    }
-    return std::nullopt;
-  }
-  return Make(text, file, errors);
+  const std::optional<std::string> text = ReadSettingsFile(file, errors);
+  return text ? Make(*text, file, errors) : std::nullopt;
 }
 
 }  // namespace tarragon::settings
