--- a/include/tarragon/platform/document_service.h
+++ b/include/tarragon/platform/document_service.h
@@ -101,6 +101,9 @@
   /** @return the newest document; kNotFound if there is none; kBadAnswer if it is invalid. */
   store_result<document::document_ptr> LoadAll();
 
+  /** @return the rows that the holder of the lease keeps on each model's rollout. */
+  store_result<std::vector<row>> ReadRollouts();
+
   /** Writes the first version of the whole document, if there is none yet. */
   edit_outcome Initialize(std::vector<document::section> sections);
 
--- a/src/net/admin_api.cc
+++ b/src/net/admin_api.cc
@@ -191,7 +191,13 @@
   }
   const bool reads = request.method == "GET";
   if (request.path == "/admin/document") {
-    return reads ? GetHead() : Error(405, "method_not_allowed", "only GET is allowed");
+    if (request.method == "PUT") {
+      return Initialize(request);
+    }
+    return reads ? GetHead() : Error(405, "method_not_allowed", "only GET and PUT are allowed");
+  }
+  if (request.path == "/admin/rollout") {
+    return reads ? GetRollouts() : Error(405, "method_not_allowed", "only GET is allowed");
   }
   if (request.path == "/admin/fleet") {
     return reads ? GetFleet() : Error(405, "method_not_allowed", "only GET is allowed");
@@ -243,6 +249,36 @@
   return response;
 }
 
+admin_response admin_api::Initialize(const admin_request& request) {
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object() || !body.contains("sections") || !body["sections"].is_object()) {
+    return Error(400, "bad_body", "expected {\"sections\": {<name>: <text>}}");
+  }
+  std::vector<document::section> sections;
+  for (const auto& [name, text] : body["sections"].items()) {
+    if (!text.is_string()) {
+      return Error(400, "bad_body", fmt::format("expected the text of section {}", name));
+    }
+    document::section first;
+    first.name = name;
+    first.text = text.get<std::string>();
+    sections.push_back(std::move(first));
+  }
+  return FromOutcome("all", HeaderOr(request, "Edit-Id"), service_.Initialize(std::move(sections)));
+}
+
+admin_response admin_api::GetRollouts() {
+  const auto rows = service_.ReadRollouts();
+  if (rows.has_error()) {
+    return StoreFailed(rows.error());
+  }
+  json rollouts = json::array();
+  for (const platform::row& row : rows.value()) {
+    rollouts.push_back(json::parse(row.value, nullptr, false));
+  }
+  return Json(200, {{"rollouts", std::move(rollouts)}});
+}
+
 admin_response admin_api::GetSection(const std::string& name) {
   const auto found = service_.ReadSection(name);
   if (found.has_error()) {
--- a/src/net/engine_client.cc
+++ b/src/net/engine_client.cc
@@ -15,7 +15,7 @@
 
 // Each call uses a new connection: an order on a kept connection that went silent would be lost.
 std::unique_ptr<httplib::ClientImpl> Connect(const std::string& address,
-                                           std::chrono::milliseconds timeout) {
+                                             std::chrono::milliseconds timeout) {
   const auto parsed = socket_address::Make(address);
   if (!parsed) {
     return nullptr;
--- a/src/platform/document_service.cc
+++ b/src/platform/document_service.cc
@@ -248,6 +248,10 @@
   return made;
 }
 
+store_result<std::vector<row>> document_service::ReadRollouts() {
+  return store_.Scan("control/rollout/");
+}
+
 edit_outcome document_service::Initialize(std::vector<section> sections) {
   document_head head{.version = 1, .section_versions = {}};
   transaction writes;
--- a/tests/net/document_exchange_test.cc
+++ b/tests/net/document_exchange_test.cc
@@ -178,8 +178,10 @@
   EXPECT_TRUE(Eventually([&nodes] {
     return std::ranges::all_of(nodes, [](const auto& node) { return node->AliveCount() == 2; });
   }));
-  nodes[0]->SetState(
-      {.endpoints = {{.endpoint_hash = 1, .in_flight = 2}}, .accounts = {}, .suspects = {}});
+  nodes[0]->SetState({.endpoints = {{.endpoint_hash = 1, .in_flight = 2}},
+                      .accounts = {},
+                      .suspects = {},
+                      .adopted = {}});
   nodes[0]->SetDocumentVersion(5);
   EXPECT_TRUE(Eventually([&heard] { return heard == 5; }));
   EXPECT_TRUE(Eventually([&states] { return states > 0; }));
