--- a/tools/tarragonctl/section_commands.cc
+++ b/tools/tarragonctl/section_commands.cc
@@ -184,22 +184,21 @@
   }
   const bool with_present = context.arguments.size() < 5;
   const admin_answer newer = context.client.Get(
-      {.path =
-           with_present ? PathOf(section) : PathOf(section, "/history/" + context.arguments[4]));
-    if (newer.status != kOk) {
-      return ReportFailure(newer);
-    }
-    fmt::print("{}", document::LineDiff(older.body, newer.body));
-    return kExitOk;
+      with_present ? PathOf(section) : PathOf(section, "/history/" + context.arguments[4]));
+  if (newer.status != kOk) {
+    return ReportFailure(newer);
+  }
+  fmt::print("{}", document::LineDiff(older.body, newer.body));
+  return kExitOk;
 }
 
 struct subcommand {
-    std::string_view name;
-    /** Number of words with `section` and the name, at least and at most. */
-    std::size_t min_words;
-    std::size_t max_words;
-    std::string_view usage;
-    int (*run)(const command_context&);
+  std::string_view name;
+  /** Number of words with `section` and the name, at least and at most. */
+  std::size_t min_words;
+  std::size_t max_words;
+  std::string_view usage;
+  int (*run)(const command_context&);
 };
 
 constexpr subcommand kSubcommands[] = {
