Pass gossip options by reference

Cause: clang-tidy reports a copy that is only read. Change: gossip_node::Make takes a reference. Before: lint failed on gossip_node.cc. After: lint has no finding in the changed files. Conclusion: no change of behaviour.

--- a/include/tarragon/net/gossip_node.h
+++ b/include/tarragon/net/gossip_node.h
@@ -35,7 +35,7 @@
    */
   static std::unique_ptr<gossip_node> Make(io_thread& io,
                                            const clock& time,
-                                           gossip_options options,
+                                           const gossip_options& options,
                                            std::uint64_t seed,
                                            gossip_callbacks callbacks);
   ~gossip_node();
--- a/src/net/gossip_node.cc
+++ b/src/net/gossip_node.cc
@@ -128,7 +128,7 @@
 
 std::unique_ptr<gossip_node> gossip_node::Make(io_thread& io,
                                                const clock& time,
-                                               gossip_options options,
+                                               const gossip_options& options,
                                                std::uint64_t seed,
                                                gossip_callbacks callbacks) {
   const asio::ip::udp::endpoint local(ToIp(options.swim.gossip), options.swim.gossip.port);
--- a/tools/tarragon_members/member_host.cc
+++ b/tools/tarragon_members/member_host.cc
@@ -19,7 +19,7 @@
   gossip.swim.key = options.key;
   gossip.injected_loss = options.loss;
   host->gossip_ = net::gossip_node::Make(
-      io, time, std::move(gossip), options.seed,
+      io, time, gossip, options.seed,
       {.on_state = nullptr,
        .on_change = nullptr,
        .on_newer_document = [raw = host.get(), on_hint](const membership::newer_document& newer) {
