--- a/tests/membership/swim_member_test.cc
+++ b/tests/membership/swim_member_test.cc
@@ -192,6 +192,28 @@
   }
 }
 
+// Guards against counts of an earlier datagram that arrives late and replaces newer ones.
+TEST(SwimMember, LateStateIsDropped) {
+  swim_options options;
+  options.name = "a";
+  options.gossip = fake_network::Address(0);
+  options.key = "test";
+  swim_member member(options, kSeed);
+  const auto payloads_of = [&member](std::uint64_t sequence) {
+    wire::probe_message message;
+    message.kind = wire::probe_kind::kAck;
+    message.sender.name = wire::member_name::From("b");
+    message.sender.gossip = fake_network::Address(1);
+    message.payload.sequence = sequence;
+    swim_output output;
+    member.Handle(time_point(), fake_network::Address(1), wire::Encode(message, "test"), output);
+    return output.payloads.size();
+  };
+  EXPECT_EQ(payloads_of(2), 1U);
+  EXPECT_EQ(payloads_of(1), 0U);
+  EXPECT_EQ(payloads_of(3), 1U);
+}
+
 // Guards against a malformed datagram that stops a member or changes its list.
 TEST(SwimMember, MalformedDatagramsAreCountedAndIgnored) {
   fake_network network(3, kSeed);
