Send accusations and refutations before other updates

Cause: in the in-memory network with 390 members that start together at 5% loss, 5 changes of running members to dead were seen by 120 s and 6 by 310 s: refutations waited behind the records of the joins. Change: the update queue sends accusations and refutations first, then the least sent updates. A longer suspicion time was ruled out, since it delays the detection of real deaths. Before: 6 false deaths in the first 310 s. Conclusion: an hour of rounds with 390 members is still to be run.

--- a/include/tarragon/membership/swim_member.h
+++ b/include/tarragon/membership/swim_member.h
@@ -149,6 +149,8 @@
   struct update {
     wire::member_record record;
     int sends = 0;
+    /** Accusation or refutation; sent before other updates. */
+    bool urgent = false;
   };
 
   void HandleMessage(time_point now,
@@ -209,7 +211,7 @@
   duration SuspicionTime(const suspicion& raised) const;
   duration Scaled(duration base) const { return base * (local_health_ + 1); }
   void ChangeHealth(int by);
-  void Queue(const wire::member_record& record);
+  void Queue(const wire::member_record& record, bool urgent);
   void FillUpdates(wire::probe_message& message, const wire::member_record* first);
   wire::probe_message MakeProbe(wire::probe_kind kind,
                                 std::uint64_t sequence,
--- a/src/membership/swim_member.cc
+++ b/src/membership/swim_member.cc
@@ -222,7 +222,7 @@
   if (accused) {
     ChangeHealth(+1);
   }
-  Queue(self_);
+  Queue(self_, true);
 }
 
 void swim_member::AddMember(time_point now, const member_record& record, swim_output& output) {
@@ -240,7 +240,7 @@
   NoteVersion(now, known, record.document_version);
   ++alive_count_;
   output.changes.push_back({.name = name, .state = member_state::kAlive});
-  Queue(known.record);
+  Queue(known.record, false);
   if (record.state == member_state::kSuspect) {
     ApplyToMember(now, known, record, output);
   }
@@ -259,7 +259,7 @@
         known.suspected->accusers.size() <= static_cast<std::size_t>(options_.confirmations) &&
         known.suspected->accusers.insert(record.accuser).second) {
       // An independent confirmation shortens the suspicion and is passed on.
-      Queue(record);
+      Queue(record, true);
     }
     if (Severity(record.state) <= Severity(known.record.state)) {
       return;
@@ -302,7 +302,7 @@
   if (before != record.state) {
     output.changes.push_back({.name = name, .state = record.state});
   }
-  Queue(known.record);
+  Queue(known.record, before != record.state);
 }
 
 void swim_member::NoteVersion(time_point now, member& known, std::uint64_t version) {
@@ -660,8 +660,8 @@
   local_health_ = std::clamp(local_health_ + by, 0, options_.max_local_health - 1);
 }
 
-void swim_member::Queue(const member_record& record) {
-  updates_[record.name.Text()] = {.record = record, .sends = 0};
+void swim_member::Queue(const member_record& record, bool urgent) {
+  updates_[record.name.Text()] = {.record = record, .sends = 0, .urgent = urgent};
 }
 
 void swim_member::FillUpdates(probe_message& message, const member_record* first) {
@@ -671,14 +671,16 @@
   if (first != nullptr) {
     add(*first);
   }
-  // The least sent updates go first.
+  // Accusations and refutations go first: behind the many joins of a start or a merge, a refutation
+  // would come too late. Among equals, the least sent updates go first.
   std::vector<std::map<std::string, update>::iterator> queue;
   for (auto at = updates_.begin(); at != updates_.end(); ++at) {
     queue.push_back(at);
   }
   const std::size_t wanted = std::min(queue.size(), wire::kUpdatesPerProbe - message.update_count);
-  std::ranges::partial_sort(queue, queue.begin() + static_cast<std::ptrdiff_t>(wanted), {},
-                            [](const auto& at) { return at->second.sends; });
+  std::ranges::partial_sort(
+      queue, queue.begin() + static_cast<std::ptrdiff_t>(wanted), {},
+      [](const auto& at) { return std::pair(!at->second.urgent, at->second.sends); });
   const int limit = static_cast<int>(
       std::ceil(options_.retransmit_factor * std::log10(static_cast<double>(alive_count_ + 2))));
   for (std::size_t i = 0; i < wanted; ++i) {
