Build every file with the features of the packaged cpp-httplib

Cause: the layout of the library's classes depends on three macros that its package was built with. The stand-ins included the header without them, the net library with one, the platform library with all. Ruled out: one more wrapper header, which a new file can forget. Before: three layouts of the same classes in one tree.

--- a/src/net/caller_api.cc
+++ b/src/net/caller_api.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "net/http_library.h"
+#include <httplib.h>
 #include "net/http_server.h"
 #include "tarragon/base/metrics.h"
 #include "tarragon/document/document_replica.h"
--- a/src/net/control_process.cc
+++ b/src/net/control_process.cc
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "net/http_library.h"
+#include <httplib.h>
 #include "tarragon/base/log.h"
 #include "tarragon/base/metrics.h"
 #include "tarragon/control/lease_keeper.h"
--- a/src/net/engine_client.cc
+++ b/src/net/engine_client.cc
@@ -3,7 +3,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
-#include "net/http_library.h"
+#include <httplib.h>
 #include "tarragon/net/socket_address.h"
 
 namespace tarragon::net {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <thread>
 
-#include "net/http_library.h"
+#include <httplib.h>
 #include "tarragon/net/socket_address.h"
 #include "tarragon/net/thread_pool.h"
 
--- a/src/net/load_poller.cc
+++ b/src/net/load_poller.cc
@@ -10,7 +10,7 @@
 #include <thread>
 #include <utility>
 
-#include "net/http_library.h"
+#include <httplib.h>
 #include "tarragon/base/metrics.h"
 #include "tarragon/document/document_replica.h"
 #include "tarragon/net/socket_address.h"
--- a/src/net/upstream.cc
+++ b/src/net/upstream.cc
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "net/http_library.h"
+#include <httplib.h>
 #include "tarragon/base/metrics.h"
 #include "tarragon/net/socket_address.h"
 #include "tarragon/net/sse_parser.h"
--- a/src/platform/http_platform_store.cc
+++ b/src/platform/http_platform_store.cc
@@ -5,7 +5,7 @@
 
 #include <utility>
 
-#include "http_library.h"
+#include <httplib.h>
 
 namespace tarragon::platform {
 
--- a/tests/platform/http_platform_store_test.cc
+++ b/tests/platform/http_platform_store_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <thread>
 
-#include "platform/http_library.h"
+#include <httplib.h>
 
 namespace tarragon::platform {
 namespace {
--- a/tools/tarragon_load/latency_mode.cc
+++ b/tools/tarragon_load/latency_mode.cc
@@ -14,9 +14,6 @@
 #include <span>
 #include <thread>
 
-#ifndef CPPHTTPLIB_OPENSSL_SUPPORT
-#define CPPHTTPLIB_OPENSSL_SUPPORT
-#endif
 #include <httplib.h>
 
 #include "stream_client.h"
--- a/tools/tarragon_load/stream_client.cc
+++ b/tools/tarragon_load/stream_client.cc
@@ -1,9 +1,5 @@
 #include "stream_client.h"
 
-// The packaged library is built with OpenSSL support, which changes the layout of its classes.
-#ifndef CPPHTTPLIB_OPENSSL_SUPPORT
-#define CPPHTTPLIB_OPENSSL_SUPPORT
-#endif
 #include <httplib.h>
 
 #include <charconv>
--- a/tools/tarragonctl/admin_client.cc
+++ b/tools/tarragonctl/admin_client.cc
@@ -4,7 +4,7 @@
 #include <thread>
 #include <utility>
 
-#include "net/http_library.h"
+#include <httplib.h>
 #include "tarragon/net/socket_address.h"
 
 namespace tarragon::ctl {
