Bring peers, document exchange and admin interface into the entry

Cause: the entry ran alone. It knew no other VM, took the document only from the platform's head row each 5 s, and answered no edit.

Change: peer_exchange runs gossip and the document server on one I/O thread and hands states and losses of VMs to the engine from a thread of its own, the newest state of each VM only. Posting from the I/O thread was ruled out: a full ring would delay acks, which other members take for a death. document_syncer replaces the head poll of platform_thread. Tickets, gossip and document exchange use keys derived from the fleet key by HMAC. /admin/document, /admin/fleet and /admin/rollout are mounted with the teams of the settings. A drained entry leaves the fleet after its last answer, since its counts apply until then. Expired claims are deleted on a thread of their own, so that the list is still read each second. Load polls run at the same time, one per endpoint; before, each frozen endpoint delayed all others by its timeout. The pace is 6 polls/s of 500 bytes, which reads 15 endpoints in 2.5 s.

No test of several entries is part of this change.

--- a/include/tarragon/net/load_poller.h
+++ b/include/tarragon/net/load_poller.h
@@ -2,6 +2,7 @@
 #define TARRAGON_NET_LOAD_POLLER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -17,17 +18,23 @@
 
 struct load_poller_options {
   /** Bytes per second for all polls together, out of the control budget of 8 KB/s. */
-  double bytes_per_second = 2500;
+  double bytes_per_second = 3000;
   /** Bytes of one poll in both directions, headers included. */
-  double bytes_per_poll = 600;
+  double bytes_per_poll = 500;
   /** No endpoint is polled more often. */
   std::chrono::milliseconds min_interval{500};
   std::chrono::milliseconds timeout{500};
+  /**
+   * Polls that run at the same time. Frozen endpoints hold one each, for up to two timeouts; the
+   * pace starts 6 polls in that time.
+   */
+  std::size_t max_running = 8;
 };
 
 /**
- * Thread that reads the endpoints' own load reports, one endpoint after the other, at a rate that
- * keeps to a budget of bytes whatever the number of endpoints.
+ * Thread that starts reads of the endpoints' own load reports, one endpoint after the other, at a
+ * rate that keeps to a budget of bytes whatever the number of endpoints. An endpoint that does not
+ * answer delays no other.
  */
 class load_poller final {
  public:
--- a/include/tarragon/net/platform_thread.h
+++ b/include/tarragon/net/platform_thread.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "tarragon/base/clock.h"
 #include "tarragon/decision/event.h"
@@ -16,15 +17,14 @@
 }
 namespace tarragon::platform {
 class platform_store;
-}
+struct listed_vm;
+}  // namespace tarragon::platform
 
 namespace tarragon::net {
 
 struct platform_thread_options {
   /** Interval of the list of VMs; an endpoint that leaves gets no new work after 3 s. */
   std::chrono::milliseconds list_interval{1000};
-  /** Interval of the document's head row. */
-  std::chrono::milliseconds head_interval{5000};
   /** Claim actions that may wait; further calls are refused with `not-run`. */
   std::size_t claim_capacity = 1024;
   /** Threads that write claims, so that one slow answer does not delay every other call. */
@@ -33,16 +33,19 @@
   std::chrono::milliseconds retry_interval{500};
 };
 
-/** Threads that call the platform: claims, the list of VMs and the document's head row. */
+/** Threads that call the platform: claims and the list of VMs. */
 class platform_thread final {
  public:
   using event_sink = std::function<void(decision::event&&)>;
+  /** Takes the whole list after each read. */
+  using vm_list_sink = std::function<void(const std::vector<platform::listed_vm>&)>;
 
   /** @param store, documents, time, counters must outlive this object. */
   platform_thread(platform_thread_options options,
                   platform::platform_store& store,
-                  document::document_replica& documents,
+                  const document::document_replica& documents,
                   event_sink sink,
+                  vm_list_sink list_sink,
                   const clock& time,
                   metrics& counters);
   ~platform_thread();
--- /dev/null
+++ b/include/tarragon/platform/absent_platform_store.h
@@ -0,0 +1,32 @@
+#ifndef TARRAGON_PLATFORM_ABSENT_PLATFORM_STORE_H_
+#define TARRAGON_PLATFORM_ABSENT_PLATFORM_STORE_H_
+
+#include <string>
+#include <vector>
+
+#include "tarragon/platform/platform_store.h"
+
+namespace tarragon::platform {
+
+/** Stands for the platform in a process without one: every call fails and has no effect. */
+class absent_platform_store final : public platform_store {
+ public:
+  store_result<row> Read(const std::string& /*key*/) override { return kError; }
+  store_result<std::vector<row>> Scan(const std::string& /*prefix*/) override { return kError; }
+  store_result<std::vector<std::uint64_t>> Commit(const transaction& /*writes*/) override {
+    return kError;
+  }
+  store_result<std::string> GetObject(const std::string& /*key*/) override { return kError; }
+  store_result<std::string> PutObject(const std::string& /*key*/,
+                                      const std::string& /*data*/) override {
+    return kError;
+  }
+  store_result<std::vector<listed_vm>> ListVms() override { return kError; }
+
+ private:
+  static constexpr store_error kError = store_error::kUnavailable;
+};
+
+}  // namespace tarragon::platform
+
+#endif  // TARRAGON_PLATFORM_ABSENT_PLATFORM_STORE_H_
--- a/src/net/entry_process.cc
+++ b/src/net/entry_process.cc
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <atomic>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -13,11 +14,18 @@
 #include "tarragon/base/log.h"
 #include "tarragon/base/metrics.h"
 #include "tarragon/document/document_replica.h"
+#include "tarragon/net/admin_api.h"
 #include "tarragon/net/caller_api.h"
 #include "tarragon/net/core_thread.h"
+#include "tarragon/net/document_syncer.h"
+#include "tarragon/net/fleet_keys.h"
 #include "tarragon/net/load_poller.h"
+#include "tarragon/net/peer_address.h"
+#include "tarragon/net/peer_exchange.h"
 #include "tarragon/net/platform_thread.h"
 #include "tarragon/net/socket_address.h"
+#include "tarragon/platform/absent_platform_store.h"
+#include "tarragon/platform/document_service.h"
 #include "tarragon/platform/http_platform_store.h"
 
 namespace tarragon::net {
@@ -80,14 +88,53 @@
   caller_api_options options;
   options.limits.max_tokens = static_cast<std::uint32_t>(settings.limits.max_tokens);
   options.limits.max_ticket_age = settings.limits.ticket_max_age;
-  options.ticket_key = settings.ticket_key;
+  options.ticket_key = fleet_keys::Make(settings.ticket_key).tickets;
   return options;
 }
 
-std::unique_ptr<platform::http_platform_store> MakeStore(const settings::entry_settings& settings) {
+platform::document_service_options ServiceOptions(const settings::entry_settings& settings) {
+  platform::document_service_options options;
+  for (const auto& [name, team] : settings.teams) {
+    for (const std::string& section : team.sections) {
+      options.owners[section] = name;
+    }
+  }
+  return options;
+}
+
+admin_options AdminOptions(const settings::entry_settings& settings) {
+  admin_options options;
+  options.vm = settings.vm_name;
+  for (const auto& [name, team] : settings.teams) {
+    options.teams_by_token_sha256[team.token_sha256] = name;
+  }
+  return options;
+}
+
+syncer_options SyncerOptions(const settings::entry_settings& settings) {
+  syncer_options options;
+  options.key = fleet_keys::Make(settings.ticket_key).documents;
+  return options;
+}
+
+std::string_view StateName(wire::member_state state) {
+  switch (state) {
+    case wire::member_state::kAlive:
+      return "alive";
+    case wire::member_state::kSuspect:
+      return "suspect";
+    case wire::member_state::kDead:
+      return "dead";
+    case wire::member_state::kLeft:
+      return "left";
+  }
+  return "unknown";
+}
+
+std::unique_ptr<platform::platform_store> MakeStore(const settings::entry_settings& settings) {
   const auto address = socket_address::Make(settings.platform_address);
   if (!address) {
-    return nullptr;
+    return std::make_unique<platform::absent_platform_store>();
   }
   platform::http_store_options options;
   options.host = address->ip;
@@ -119,19 +166,90 @@
                [this](const httplib::Request& request, httplib::Response& response) {
                  Route(request, response);
                }),
-        store(MakeStore(settings)) {
-    if (store) {
+        store(MakeStore(settings)),
+        service(*store, ServiceOptions(settings)),
+        admin(
+            AdminOptions(settings),
+            service,
+            documents,
+            [this] { return Members(); },
+            time),
+        syncer(
+            SyncerOptions(settings),
+            documents,
+            service,
+            [this] { return Members(); },
+            time,
+            counters,
+            std::random_device{}()) {
+    if (!settings.platform_address.empty()) {
       calls = std::make_unique<platform_thread>(
           platform_thread_options{}, *store, documents,
-          [this](decision::event&& what) { core.Post(std::move(what)); }, time, counters);
+          [this](decision::event&& what) { core.Post(std::move(what)); },
+          [this](const std::vector<platform::listed_vm>& list) { AddListedSeeds(list); }, time,
+          counters);
+    }
+    if (!settings.peer_address.empty()) {
+      peers = MakePeers();
     }
     documents.AddListener([this](const document::document_ptr& next) {
       LogEvent("document_changed", {{"version", next->version()}});
       counters.Gauge("tarragon_document_version").Set(static_cast<std::int64_t>(next->version()));
       core.Post(decision::document_changed{next});
+      if (peers) {
+        peers->SetDocumentVersion(next->version());
+      }
     });
   }
 
+  /** @return null if the address is not one that peers can connect to. */
+  std::unique_ptr<peer_exchange> MakePeers() {
+    const auto address = ParsePeerAddress(settings.peer_address);
+    if (!address) {
+      return nullptr;
+    }
+    peer_exchange_options options;
+    options.vm = settings.vm_name;
+    options.address = *address;
+    options.keys = fleet_keys::Make(settings.ticket_key);
+    for (const std::string& seed : settings.seeds) {
+      if (const auto parsed = ParsePeerAddress(seed); parsed && *parsed != *address) {
+        options.seeds.push_back(*parsed);
+      }
+    }
+    return std::make_unique<peer_exchange>(
+        options,
+        peer_exchange::callbacks{
+            .events = [this](decision::event&& what) { core.Post(std::move(what)); },
+            .local_state = [this] { return core.LocalState(); },
+            .newer_document =
+                [this](const membership::newer_document& newer) { syncer.OnNewerDocument(newer); }},
+        documents, time);
+  }
+
+  /** Entry VMs on the platform's list, told from endpoints by the document, are further seeds. */
+  void AddListedSeeds(const std::vector<platform::listed_vm>& list) {
+    const document::document_ptr document = documents.Current();
+    if (!peers || !document) {
+      return;
+    }
+    std::vector<wire::peer_address> seeds;
+    for (const platform::listed_vm& vm : list) {
+      const auto& vms = document->contents().vms;
+      const bool is_entry =
+          std::ranges::find(vms, vm.id, &document::vm_settings::name) != vms.end();
+      const auto address = ParsePeerAddress(vm.address);
+      if (is_entry && !vm.leaving && vm.id != settings.vm_name && address) {
+        seeds.push_back(*address);
+      }
+    }
+    peers->SetListedSeeds(seeds);
+  }
+
+  std::vector<membership::member_view> Members() const {
+    return peers ? peers->Members() : std::vector<membership::member_view>();
+  }
+
   void Route(const httplib::Request& request, httplib::Response& response) {
     if (request.path == "/healthz") {
       response.set_content("ok\n", "text/plain");
@@ -143,6 +261,8 @@
       response.set_content(counters.Expose(), "text/plain; version=0.0.4");
     } else if (request.path == "/admin/status") {
       ShowStatus(request, response);
+    } else if (request.path.starts_with("/admin/")) {
+      Administer(request, response);
     } else {
       api.Handle(request, response);
       return;
@@ -150,6 +270,20 @@
     response.set_header("Run-Verdict", std::string(ToString(run_verdict::kNotRun)));
   }
 
+  void Administer(const httplib::Request& request, httplib::Response& response) {
+    admin_request call{
+        .method = request.method, .path = request.path, .headers = {}, .body = request.body};
+    for (const auto& [name, value] : request.headers) {
+      call.headers.emplace(name, value);
+    }
+    const admin_response answer = admin.Handle(call);
+    response.status = answer.status;
+    for (const auto& [name, value] : answer.headers) {
+      response.set_header(name, value);
+    }
+    response.set_content(answer.body, answer.content_type);
+  }
+
   void RecordCpu() {
     rusage usage{};
     ::getrusage(RUSAGE_SELF, &usage);
@@ -180,15 +314,21 @@
       response.set_content(error.Body(), "application/json");
       return;
     }
-    const document::document_ptr document = documents.Current();
+    nlohmann::json members = nlohmann::json::array();
+    for (const membership::member_view& member : Members()) {
+      members.push_back({{"vm", member.name},
+                         {"state", StateName(member.state)},
+                         {"address", ToString(member.gossip)},
+                         {"document_version", member.document_version}});
+    }
     response.set_content(nlohmann::json{{"vm", settings.vm_name},
                                         {"failure_domain", settings.failure_domain},
                                         {"ready", ready()},
                                         {"draining", draining.load()},
-                                        {"document_version", document ? document->version() : 0},
+                                        {"document_version", documents.Version()},
                                         {"open_requests", core.OpenRequests()},
                                         {"open_answers", api.OpenAnswers()},
-                                        {"members", nlohmann::json::array()}}
+                                        {"members", std::move(members)}}
                              .dump(),
                          "application/json");
   }
@@ -205,7 +345,12 @@
   caller_api api;
   load_poller loads;
   http_server server;
-  std::unique_ptr<platform::http_platform_store> store;
+  const std::unique_ptr<platform::platform_store> store;
+  platform::document_service service;
+  admin_api admin;
+  document_syncer syncer;
+  /** Null without a peer address. */
+  std::unique_ptr<peer_exchange> peers;
   /** Null without a platform; then unrepeatable calls are refused. */
   std::unique_ptr<platform_thread> calls;
 };
@@ -223,6 +368,10 @@
     LogEvent("bind_failed", {{"address", state_->settings.callers_address}});
     return false;
   }
+  if (!state_->settings.peer_address.empty() && (!state_->peers || !state_->peers->Start())) {
+    LogEvent("bind_failed", {{"address", state_->settings.peer_address}});
+    return false;
+  }
   state_->core.Start();
   state_->started = true;
   if (initial) {
@@ -231,6 +380,9 @@
   if (state_->calls) {
     state_->calls->Start();
   }
+  if (state_->calls || state_->peers) {
+    state_->syncer.Start();
+  }
   state_->loads.Start();
   state_->server.Start();
   LogEvent("started", {{"vm", state_->settings.vm_name}, {"port", callers_port()}});
@@ -261,18 +413,28 @@
   while (state_->calls && state_->calls->PendingClaims() > 0 && state_->time.Now() < give_up) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
+  // Only now: the counts of this entry apply at the others as long as its streams run.
+  if (state_->peers) {
+    state_->peers->Leave();
+  }
   LogEvent("drained", {{"unrecorded_claims", state_->calls ? state_->calls->PendingClaims() : 0}});
 }
 
 void entry_process::Stop() {
   if (state_->started.exchange(false)) {
     state_->loads.Stop();
-    // The core ends first, which closes the mailboxes that handlers wait for.
+    // The core ends first, which closes the mailboxes that handlers wait for, and lets the other
+    // threads go that wait for room in its ring.
     state_->core.Stop();
     if (state_->calls) {
       state_->calls->Stop();
     }
+    state_->syncer.Stop();
     state_->server.Stop();
+    // Last, since each of the others may announce a document.
+    if (state_->peers) {
+      state_->peers->Stop();
+    }
   }
 }
 
--- a/src/net/load_poller.cc
+++ b/src/net/load_poller.cc
@@ -14,6 +14,7 @@
 #include "tarragon/base/metrics.h"
 #include "tarragon/document/document_replica.h"
 #include "tarragon/net/socket_address.h"
+#include "tarragon/net/thread_pool.h"
 
 namespace tarragon::net {
 
@@ -60,7 +61,8 @@
         time(source),
         polls(counters.Counter("tarragon_load_polls_total")),
         failures(counters.Counter("tarragon_load_poll_failures_total")),
-        bytes(counters.Counter("tarragon_load_poll_bytes_total")) {}
+        bytes(counters.Counter("tarragon_load_poll_bytes_total")),
+        workers(poll_options.max_running) {}
 
   void Run() {
     std::size_t next = 0;
@@ -78,40 +80,71 @@
             document->contents().endpoints[next++ % count];
         const document::service_settings* service = document->FindService(endpoint.service);
         const bool plain = service != nullptr && service->kind == document::service_kind::kPlain;
-        Poll(endpoint, plain ? "/load" : "/v1/load");
+        StartPoll(endpoint, plain ? "/load" : "/v1/load");
       }
     }
   }
 
-  void Poll(const document::endpoint_settings& endpoint, const char* path) {
+  void StartPoll(const document::endpoint_settings& endpoint, const char* path) {
     const auto address = socket_address::Make(endpoint.address);
     if (!address) {
       return;
     }
-    polls.Add();
-    // A poll may be repeated, so that a kept connection that died costs one report at most.
-    std::unique_ptr<httplib::ClientImpl>& client = clients[endpoint.address];
+    client_ptr client;
+    {
+      std::lock_guard lock(mutex);
+      if (polling.contains(endpoint.name)) {
+        return;
+      }
+      if (auto kept = clients.extract(endpoint.address)) {
+        client = std::move(kept.mapped());
+      }
+    }
     if (!client) {
-      client = std::make_unique<httplib::ClientImpl>(address->ip, address->port);
+      client = std::make_shared<httplib::ClientImpl>(address->ip, address->port);
       client->set_keep_alive(true);
       client->set_connection_timeout(options.timeout);
       client->set_read_timeout(options.timeout);
       client->set_write_timeout(options.timeout);
     }
-    const auto result = client->Get(path);
+    {
+      std::lock_guard lock(mutex);
+      polling[endpoint.name] = client;
+    }
+    const auto poll = [this, client, name = endpoint.name, where = endpoint.address, path] {
+      const bool answered = Poll(*client, name, path);
+      std::lock_guard lock(mutex);
+      polling.erase(name);
+      // A connection that failed is not used again.
+      if (answered) {
+        clients[where] = client;
+      }
+    };
+    if (!workers.TryRun(poll)) {
+      std::lock_guard lock(mutex);
+      polling.erase(endpoint.name);
+    }
+  }
+
+  bool Poll(httplib::ClientImpl& client, const endpoint_name& endpoint, const char* path) {
+    polls.Add();
+    // A poll may be repeated, so that a kept connection that died costs one report at most.
+    const auto result = client.Get(path);
     std::optional<decision::load_reported> report;
     if (result && result->status == kHttpOk) {
       bytes.Add(static_cast<std::int64_t>(options.bytes_per_poll));
-      report = ParseReport(endpoint.name, result->body);
+      report = ParseReport(endpoint, result->body);
     }
-    if (report) {
-      sink(*std::move(report));
-    } else {
+    if (!report) {
       failures.Add();
-      client.reset();
+      return false;
     }
+    sink(*std::move(report));
+    return true;
   }
 
+  using client_ptr = std::shared_ptr<httplib::ClientImpl>;
+
   const load_poller_options options;
   const document::document_replica& documents;
   const report_sink sink;
@@ -119,10 +152,13 @@
   counter& polls;
   counter& failures;
   counter& bytes;
-  std::map<std::string, std::unique_ptr<httplib::ClientImpl>> clients;
   std::mutex mutex;
+  /** Idle connections by address; one in use belongs to its poll. */
+  std::map<std::string, client_ptr> clients;
+  std::map<endpoint_name, client_ptr> polling;
   std::condition_variable stop_or_timeout;
   bool stopped = false;
+  thread_pool workers;
   std::thread thread;
 };
 
@@ -150,6 +186,13 @@
   if (state_->thread.joinable()) {
     state_->thread.join();
   }
+  {
+    std::lock_guard lock(state_->mutex);
+    for (const auto& [endpoint, client] : state_->polling) {
+      client->stop();
+    }
+  }
+  state_->workers.Stop();
 }
 
 duration load_poller::Pause(const load_poller_options& options, std::size_t endpoints) {
--- a/src/net/platform_thread.cc
+++ b/src/net/platform_thread.cc
@@ -11,7 +11,6 @@
 #include "tarragon/base/bounded_ring.h"
 #include "tarragon/base/metrics.h"
 #include "tarragon/platform/claim_store.h"
-#include "tarragon/platform/document_service.h"
 #include "tarragon/platform/platform_store.h"
 
 namespace tarragon::net {
@@ -47,21 +46,20 @@
 struct platform_thread::state {
   state(platform_thread_options thread_options,
         platform::platform_store& platform,
-        document::document_replica& replica,
+        const document::document_replica& replica,
         event_sink event_target,
+        vm_list_sink list_target,
         const clock& source,
         metrics& counters)
       : options(thread_options),
         store(platform),
         documents(replica),
         sink(std::move(event_target)),
+        list_sink(std::move(list_target)),
         time(source),
         claims(platform, source),
-        service(platform, {}),
         ring(thread_options.claim_capacity),
         list_failures(counters.Counter("tarragon_vm_list_failures_total")),
-        head_failures(counters.Counter("tarragon_document_head_failures_total")),
-        document_age(counters.Gauge("tarragon_document_confirmed_age_seconds")),
         claim_retries(counters.Counter("tarragon_claim_retries_total")) {}
 
   /** @return false when the threads stop. */
@@ -109,25 +107,17 @@
     Repeat([&] { return claims.Release({claim.account, claim.key, claim.claim_token}); });
   }
 
-  void RunPolls() {
-    time_point next_list = time.Now();
-    time_point next_head = next_list;
-    time_point next_expiry = next_list + kExpiryInterval;
+  void RunList() {
     do {
-      const time_point now = time.Now();
-      if (now >= next_list) {
-        next_list = now + options.list_interval;
-        PollList();
-      }
-      if (now >= next_head) {
-        next_head = now + options.head_interval;
-        PollHead();
-      }
-      if (now >= next_expiry) {
-        next_expiry = now + kExpiryInterval;
-        (void)claims.ExpireOld();
-      }
-    } while (Sleep(std::max(std::min(next_list, next_head) - time.Now(), duration::zero())));
+      PollList();
+    } while (Sleep(options.list_interval));
+  }
+
+  // On a thread of its own: a long deletion must not delay the list.
+  void RunExpiry() {
+    while (Sleep(kExpiryInterval)) {
+      (void)claims.ExpireOld();
+    }
   }
 
   void PollList() {
@@ -153,39 +143,20 @@
     }
     // Sent each time, because the document may have changed as well.
     sink(std::move(changed));
-  }
-
-  void PollHead() {
-    const auto head = service.ReadHead();
-    if (!head) {
-      head_failures.Add();
-    } else if (head.value().version > documents.Version()) {
-      if (auto loaded = service.LoadAll()) {
-        documents.Offer(time.Now(), loaded.value());
-      } else {
-        head_failures.Add();
-      }
-    }
-    if (head) {
-      documents.Confirm(time.Now(), head.value().version);
-    }
-    if (const auto confirmed = documents.ConfirmedAt()) {
-      document_age.Set(
-          std::chrono::duration_cast<std::chrono::seconds>(time.Now() - *confirmed).count());
+    if (list_sink) {
+      list_sink(list.value());
     }
   }
 
   const platform_thread_options options;
   platform::platform_store& store;
-  document::document_replica& documents;
+  const document::document_replica& documents;
   const event_sink sink;
+  const vm_list_sink list_sink;
   const clock& time;
   platform::claim_store claims;
-  platform::document_service service;
   bounded_ring<claim_action> ring;
   counter& list_failures;
-  counter& head_failures;
-  counter& document_age;
   counter& claim_retries;
   std::atomic<std::size_t> pending{0};
   std::mutex mutex;
@@ -196,18 +167,26 @@
 
 platform_thread::platform_thread(platform_thread_options options,
                                  platform::platform_store& store,
-                                 document::document_replica& documents,
+                                 const document::document_replica& documents,
                                  event_sink sink,
+                                 vm_list_sink list_sink,
                                  const clock& time,
                                  metrics& counters)
-    : state_(std::make_unique<state>(options, store, documents, std::move(sink), time, counters)) {}
+    : state_(std::make_unique<state>(options,
+                                     store,
+                                     documents,
+                                     std::move(sink),
+                                     std::move(list_sink),
+                                     time,
+                                     counters)) {}
 
 platform_thread::~platform_thread() {
   Stop();
 }
 
 void platform_thread::Start() {
-  state_->threads.emplace_back([this] { state_->RunPolls(); });
+  state_->threads.emplace_back([this] { state_->RunList(); });
+  state_->threads.emplace_back([this] { state_->RunExpiry(); });
   for (std::size_t i = 0; i < state_->options.claim_threads; ++i) {
     state_->threads.emplace_back([this] { state_->RunClaims(); });
   }
