Carry adopted generations and cleared deaths in gossip

Cause: the engine publishes the generations that a returning caller attached to, and the deaths of a suspect that were cleared, but the datagram carried neither: the first entry would cancel a generation that another one reads. The engine also picked up to 32 adoptions, 16 accounts and 16 suspects, of which the datagram kept a fixed part.

Change: both sides use the limits of gossip_limits.h: 64 endpoints, 14 accounts, 6 suspects and 10 adoptions. In-flight counts are one byte, cut at 255, which pays for the adoptions; fewer membership updates per probe was ruled out, since that slows the spread of accusations. Suspects keep the engine's order, newest first. The layout number is raised.

Conclusion: the payload carries all that the engine publishes.

--- a/include/tarragon/wire/datagram.h
+++ b/include/tarragon/wire/datagram.h
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "tarragon/decision/event.h"
+#include "tarragon/decision/gossip_limits.h"
 #include "tarragon/wire/member_record.h"
 
 namespace tarragon::wire {
@@ -17,16 +18,18 @@
 inline constexpr std::size_t kMaxDatagramSize = 1200;
 
 inline constexpr std::size_t kUpdatesPerProbe = 6;
-inline constexpr std::size_t kEndpointsPerProbe = 64;
-inline constexpr std::size_t kAccountsPerProbe = 14;
-inline constexpr std::size_t kSuspectsPerProbe = 6;
+inline constexpr std::size_t kEndpointsPerProbe = decision::kMaxGossipEndpoints;
+inline constexpr std::size_t kAccountsPerProbe = decision::kMaxGossipAccounts;
+inline constexpr std::size_t kSuspectsPerProbe = decision::kMaxGossipSuspects;
+inline constexpr std::size_t kAdoptionsPerProbe = decision::kMaxGossipAdoptions;
 inline constexpr std::size_t kRecordsPerSync = 16;
 
 /** Counts of one VM. Only the first `*_count` entries of each array are in use. */
 struct state_payload {
   struct endpoint_entry {
     std::uint32_t hash = 0;
-    std::uint16_t in_flight = 0;
+    /** At most 255; an entry has about 136 streams open at the two-year size. */
+    std::uint8_t in_flight = 0;
     template <typename Archive>
     void serialize(Archive& archive) {
       archive(hash, in_flight);
@@ -43,9 +46,10 @@
   struct suspect_entry {
     std::uint64_t content = 0;
     std::uint8_t deaths = 0;
+    std::uint8_t cleared = 0;
     template <typename Archive>
     void serialize(Archive& archive) {
-      archive(content, deaths);
+      archive(content, deaths, cleared);
     }
   };
 
@@ -54,17 +58,23 @@
   std::uint8_t endpoint_count = 0;
   std::uint8_t account_count = 0;
   std::uint8_t suspect_count = 0;
+  std::uint8_t adopted_count = 0;
   std::array<endpoint_entry, kEndpointsPerProbe> endpoints;
   std::array<account_entry, kAccountsPerProbe> accounts;
   std::array<suspect_entry, kSuspectsPerProbe> suspects;
+  std::array<std::uint64_t, kAdoptionsPerProbe> adopted{};
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sequence, endpoint_count, account_count, suspect_count, endpoints, accounts, suspects);
+    archive(sequence, endpoint_count, account_count, suspect_count, adopted_count, endpoints,
+            accounts, suspects, adopted);
   }
 };
 
-/** Keeps the largest counts if there are more than fit. */
+/**
+ * If there are more than fit, keeps the largest counts, and the first suspects and adoptions: the
+ * engine lists the newest suspects first and picks adoptions in turn.
+ */
 state_payload ToPayload(const decision::peer_state& state, std::uint64_t sequence);
 decision::peer_state FromPayload(const state_payload& payload);
 
--- a/src/decision/caller_handler.cc
+++ b/src/decision/caller_handler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "tarragon/base/hash.h"
+#include "tarragon/decision/gossip_limits.h"
 
 namespace tarragon::decision {
 
@@ -11,8 +12,6 @@
 
 // Claim answers that are this late are taken as lost.
 constexpr std::chrono::minutes kClaimAnswerTimeout{10};
-// Part of a 1,200-byte datagram.
-constexpr std::size_t kMaxGossipAdoptions = 32;
 
 }  // namespace
 
--- a/src/decision/policy_set.cc
+++ b/src/decision/policy_set.cc
@@ -5,6 +5,7 @@
 
 #include "tarragon/base/hash.h"
 #include "tarragon/base/invariant.h"
+#include "tarragon/decision/gossip_limits.h"
 #include "tarragon/policy/endpoint_subset.h"
 
 namespace tarragon::decision {
@@ -20,9 +21,6 @@
 // Levels of demotion inside one class priority, each for four times the tokens of the one before.
 constexpr int kDemotionLevels = 4;
 constexpr std::uint32_t kFirstDemotionTokens = 256;
-// One datagram carries no more than this.
-constexpr std::size_t kMaxGossipAccounts = 16;
-constexpr std::size_t kMaxGossipSuspects = 16;
 
 account_id AccountOf(std::string_view name) {
   return {Hash64(name)};
--- a/src/wire/datagram.cc
+++ b/src/wire/datagram.cc
@@ -19,8 +19,9 @@
 namespace {
 
 constexpr std::size_t kTagSize = 16;
+constexpr std::uint16_t kMaxInFlight = 255;
 // Changes with the layout, so that processes of two layouts ignore each other's datagrams.
-constexpr std::uint32_t kLayout = 0x54440001;
+constexpr std::uint32_t kLayout = 0x54440002;
 
 /** Reads from or writes to a fixed buffer, without allocation. */
 class span_buffer final : public std::streambuf {
@@ -55,7 +56,8 @@
   return message.kind <= probe_kind::kNack && message.update_count <= updates.size() &&
          message.payload.endpoint_count <= kEndpointsPerProbe &&
          message.payload.account_count <= kAccountsPerProbe &&
-         message.payload.suspect_count <= kSuspectsPerProbe && IsValid(message.sender) &&
+         message.payload.suspect_count <= kSuspectsPerProbe &&
+         message.payload.adopted_count <= kAdoptionsPerProbe && IsValid(message.sender) &&
          std::ranges::all_of(updates.first(message.update_count),
                              [](const member_record& record) { return IsValid(record); });
 }
@@ -114,11 +116,11 @@
   std::vector<decision::account_usage> accounts = state.accounts;
   std::ranges::sort(accounts, std::ranges::greater(),
                     &decision::account_usage::requests_per_second);
-  std::vector<decision::suspect_report> suspects = state.suspects;
-  std::ranges::sort(suspects, std::ranges::greater(), &decision::suspect_report::deaths);
   for (const auto& entry : endpoints) {
     if (payload.endpoint_count < kEndpointsPerProbe) {
-      payload.endpoints[payload.endpoint_count++] = {entry.endpoint_hash, entry.in_flight};
+      payload.endpoints[payload.endpoint_count++] = {
+          entry.endpoint_hash,
+          static_cast<std::uint8_t>(std::min<std::uint16_t>(entry.in_flight, kMaxInFlight))};
     }
   }
   for (const auto& entry : accounts) {
@@ -126,9 +128,15 @@
       payload.accounts[payload.account_count++] = {entry.account.value, entry.requests_per_second};
     }
   }
-  for (const auto& entry : suspects) {
+  for (const auto& entry : state.suspects) {
     if (payload.suspect_count < kSuspectsPerProbe) {
-      payload.suspects[payload.suspect_count++] = {entry.content.value, entry.deaths};
+      payload.suspects[payload.suspect_count++] = {entry.content.value, entry.deaths,
+                                                   entry.cleared};
+    }
+  }
+  for (const std::uint64_t generation : state.adopted) {
+    if (payload.adopted_count < kAdoptionsPerProbe) {
+      payload.adopted[payload.adopted_count++] = generation;
     }
   }
   return payload;
@@ -143,8 +151,10 @@
     state.accounts.push_back({account_id{entry.account}, entry.requests_per_second});
   }
   for (const auto& entry : std::span(payload.suspects).first(payload.suspect_count)) {
-    state.suspects.push_back({fingerprint{entry.content}, entry.deaths});
+    state.suspects.push_back({fingerprint{entry.content}, entry.deaths, entry.cleared});
   }
+  const auto adopted = std::span(payload.adopted).first(payload.adopted_count);
+  state.adopted.assign(adopted.begin(), adopted.end());
   return state;
 }
 
--- a/tests/wire/datagram_test.cc
+++ b/tests/wire/datagram_test.cc
@@ -28,7 +28,8 @@
   for (std::uint32_t i = 0; i < 200; ++i) {
     state.endpoints.push_back({i, static_cast<std::uint16_t>(i)});
     state.accounts.push_back({account_id{i}, static_cast<float>(i)});
-    state.suspects.push_back({fingerprint{i}, static_cast<std::uint8_t>(i)});
+    state.suspects.push_back({fingerprint{i}, static_cast<std::uint8_t>(i), 1});
+    state.adopted.push_back(i);
   }
   message.payload = ToPayload(state, 9);
   return message;
@@ -56,6 +57,19 @@
   EXPECT_EQ(state.endpoints[0].in_flight, 199);
   ASSERT_EQ(state.accounts.size(), kAccountsPerProbe);
   EXPECT_EQ(state.accounts[0].account.value, 199U);
+  ASSERT_EQ(state.suspects.size(), kSuspectsPerProbe);
+  EXPECT_EQ(state.suspects[2].content.value, 2U);
+  EXPECT_EQ(state.suspects[2].deaths, 2);
+  EXPECT_EQ(state.suspects[2].cleared, 1);
+  ASSERT_EQ(state.adopted.size(), kAdoptionsPerProbe);
+  EXPECT_EQ(state.adopted[9], 9U);
+}
+
+// Guards against a large count that wraps around to a small one.
+TEST(Datagram, LargeCountsSaturate) {
+  decision::peer_state state;
+  state.endpoints.push_back({1, 256});
+  EXPECT_EQ(FromPayload(ToPayload(state, 1)).endpoints.at(0).in_flight, 255);
 }
 
 // Guards against datagrams from outside of the fleet.
@@ -88,6 +102,9 @@
   probe_message endpoints = FullProbe();
   endpoints.payload.endpoint_count = kEndpointsPerProbe + 1;
   EXPECT_FALSE(Decode(Encode(endpoints, kKey), kKey).has_value());
+  probe_message adopted = FullProbe();
+  adopted.payload.adopted_count = kAdoptionsPerProbe + 1;
+  EXPECT_FALSE(Decode(Encode(adopted, kKey), kKey).has_value());
   sync_message records;
   records.sender = Record("a");
   records.record_count = kRecordsPerSync + 1;
