Refuse to start on a port in use

Cause: the HTTP library sets SO_REUSEPORT, so that a second process on the same address started without an error and took a share of the connections. Two tests of several entries met on a port in this way: the document of one was refused with 412.

Change: the server sets SO_REUSEADDR only.

Conclusion: a port clash is reported at the start.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -257,6 +257,12 @@
 http_server::http_server(http_server_options options, handler handle)
     : options_(options), threads_(options.max_connections) {
   new_task_queue = [this] { return new task_queue(threads_); };
+  // The library's default is SO_REUSEPORT, by which a second process on the same address would
+  // start and take a share of the connections.
+  set_socket_options([](socket_t socket) {
+    const int on = 1;
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  });
   set_payload_max_length(options_.max_body_bytes);
   set_keep_alive_max_count(kMaxRequestsPerConnection);
   set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
--- a/tests/net/entry_process_test.cc
+++ b/tests/net/entry_process_test.cc
@@ -371,6 +371,15 @@
   EXPECT_THAT(answer, HasSubstr("data: [DONE]"));
 }
 
+// Guards against a second entry that takes a share of another's connections.
+TEST(EntryProcess, DoesNotStartOnAPortInUse) {
+  const running_entry first("127.0.0.1:1");
+  settings::entry_settings settings = Settings();
+  settings.callers_address = fmt::format("127.0.0.1:{}", first.port());
+  entry_process second(settings, first.time);
+  EXPECT_FALSE(second.Start(nullptr));
+}
+
 struct bad_request {
   std::string text;
   int status;
