Test endpoints that leave by report and by list

The platform's list as the source had no test.

Change: both sources are tested, after each entry has counted enough reads to have seen a report or list made after the change. Reads of the list are counted for that in tarragon_vm_list_reads_total.

Conclusion: the check no longer depends on the choice of endpoints.

--- a/src/net/platform_thread.cc
+++ b/src/net/platform_thread.cc
@@ -59,6 +59,7 @@
         time(source),
         claims(platform, source),
         ring(thread_options.claim_capacity),
+        list_reads(counters.Counter("tarragon_vm_list_reads_total")),
         list_failures(counters.Counter("tarragon_vm_list_failures_total")),
         claim_retries(counters.Counter("tarragon_claim_retries_total")) {}
 
@@ -146,6 +147,7 @@
     if (list_sink) {
       list_sink(list.value());
     }
+    list_reads.Add();
   }
 
   const platform_thread_options options;
@@ -156,6 +158,7 @@
   const clock& time;
   platform::claim_store claims;
   bounded_ring<claim_action> ring;
+  counter& list_reads;
   counter& list_failures;
   counter& claim_retries;
   std::atomic<std::size_t> pending{0};
--- a/tests/net/fleet_test.cc
+++ b/tests/net/fleet_test.cc
@@ -16,6 +16,7 @@
 #include "fakes/fake_platform/platform_service.h"
 #include "net/raw_server.h"
 #include "tarragon/base/hash.h"
+#include "tarragon/base/metrics.h"
 #include "tarragon/base/real_clock.h"
 #include "tarragon/net/entry_process.h"
 
@@ -268,6 +269,26 @@
     return answer + caller.ReadAll();
   }
 
+  /**
+   * No entry uses the endpoint once `counter` has risen by `rounds` everywhere, which means that
+   * each entry has read a report or list that was made after the call.
+   */
+  void ExpectNothingNewFor(const test_engine& leaving, const char* counter, std::int64_t rounds) {
+    std::vector<std::int64_t> due;
+    for (const auto& entry : entries_) {
+      due.push_back(entry->counters().Counter(counter).Value() + rounds);
+    }
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      ASSERT_TRUE(
+          Eventually([&] { return entries_[i]->counters().Counter(counter).Value() >= due[i]; }));
+    }
+    const int before = leaving.started;
+    for (std::size_t call = 0; call < 30; ++call) {
+      ExpectOneWholeGeneration(Exchange(Port(call % entries_.size()), Stream("")));
+    }
+    EXPECT_EQ(leaving.started, before);
+  }
+
   struct listed_endpoint {
     std::string service;
     std::string address;
@@ -325,30 +346,29 @@
 
 // Guards against new work for an endpoint that said it leaves, while others are frozen.
 TEST_F(fleet_test, LeavingEndpointGetsNothingNew) {
-  test_engine& leaving = AddEngine();
-  AddEngine();
-  AddPlain();
   const auto freeze = [](const std::string&, raw_connection& c) { c.WaitForClose(); };
   const raw_server frozen(freeze);
   const raw_server frozen_too(freeze);
   endpoints_.push_back({"booking", frozen.address()});
   endpoints_.push_back({"booking", frozen_too.address()});
+  test_engine& leaving = AddEngine();
+  AddEngine();
   StartFleet(3);
   leaving.leaving = true;
-  for (std::size_t i = 0; i < entries_.size(); ++i) {
-    EXPECT_TRUE(Eventually([&] {
-      const int before = leaving.started;
-      for (int call = 0; call < 8; ++call) {
-        Exchange(Port(i), Stream(""));
-      }
-      return leaving.started == before;
-    }));
-  }
-  const int before = leaving.started;
-  for (int call = 0; call < 30; ++call) {
-    ExpectOneWholeGeneration(Exchange(Port(static_cast<std::size_t>(call) % 3), Stream("")));
-  }
-  EXPECT_EQ(leaving.started, before);
+  ExpectNothingNewFor(leaving, "tarragon_load_polls_total",
+                      3 * static_cast<std::int64_t>(endpoints_.size()));
+}
+
+// Guards against new work for an endpoint that only the platform's list shows as leaving.
+TEST_F(fleet_test, EndpointLeavingInTheListGetsNothingNew) {
+  const test_engine& leaving = AddEngine();
+  AddEngine();
+  AddPlain();
+  StartFleet(3);
+  Exchange(platform_port_,
+           Request("PUT", "/vms/e0", "",
+                   R"({"address":"127.0.0.1:1","failure_domain":"a","state":"leaving"})"));
+  ExpectNothingNewFor(leaving, "tarragon_vm_list_reads_total", 2);
 }
 
 // Guards against an unrepeatable call that runs twice, or runs without the table.
