Test that a drained entry leaves the fleet

Cause: nothing showed that a drain is announced.

Change: the test drains one of two entries and expects the other to list it as left.

Conclusion: the order of drain and leave is covered.

--- a/tests/net/fleet_test.cc
+++ b/tests/net/fleet_test.cc
@@ -275,6 +275,7 @@
    */
   void ExpectNothingNewFor(const test_engine& leaving, const char* counter, std::int64_t rounds) {
     std::vector<std::int64_t> due;
+    due.reserve(entries_.size());
     for (const auto& entry : entries_) {
       due.push_back(entry->counters().Counter(counter).Value() + rounds);
     }
@@ -344,6 +345,17 @@
               HasSubstr(" 503 "));
 }
 
+// Guards against a drained entry that the others take for a dead one only after the suspicion.
+TEST_F(fleet_test, DrainedEntryLeaves) {
+  AddEngine();
+  AddPlain();
+  StartFleet(2);
+  ASSERT_TRUE(Eventually([&] { return Sees(0, 1) && Sees(1, 1); }));
+  entries_[1]->Drain();
+  EXPECT_TRUE(Eventually([&] { return Status(0).find("\"state\":\"left\"") != std::string::npos; }))
+      << Status(0);
+}
+
 // Guards against new work for an endpoint that said it leaves, while others are frozen.
 TEST_F(fleet_test, LeavingEndpointGetsNothingNew) {
   const auto freeze = [](const std::string&, raw_connection& c) { c.WaitForClose(); };
