Revert "Try to wake callers after a batch of events"

Conclusion: the wake-up of the caller's thread costs about 30 us per token and is the main cost of the core thread, but postponing it does not shorten it: the last caller of a batch is woken no earlier.

--- a/include/tarragon/base/bounded_ring.h
+++ b/include/tarragon/base/bounded_ring.h
@@ -1,14 +1,12 @@
 #ifndef TARRAGON_BASE_BOUNDED_RING_H_
 #define TARRAGON_BASE_BOUNDED_RING_H_
 
-#include <algorithm>
 #include <boost/circular_buffer.hpp>
 #include <condition_variable>
 #include <cstddef>
 #include <mutex>
 #include <optional>
 #include <utility>
-#include <vector>
 
 #include "tarragon/base/clock.h"
 
@@ -57,10 +55,7 @@
     std::optional<T> item;
     {
       std::unique_lock lock(mutex_);
-      // A timed wait sleeps for the timer slack of 50 us even if no time is asked for.
-      if (wait > duration::zero()) {
-        not_empty_.wait_for(lock, wait, [this] { return closed_ || !items_.empty(); });
-      }
+      not_empty_.wait_for(lock, wait, [this] { return closed_ || !items_.empty(); });
       if (items_.empty()) {
         return std::nullopt;
       }
@@ -71,25 +66,6 @@
     return item;
   }
 
-  /**
-   * Takes all items, up to `max`, under one lock.
-   * @param wait longest time to wait for the first item.
-   * @param out receives the items, oldest first, after what it holds.
-   */
-  void PopMany(duration wait, std::size_t max, std::vector<T>& out) {
-    {
-      std::unique_lock lock(mutex_);
-      if (wait > duration::zero()) {
-        not_empty_.wait_for(lock, wait, [this] { return closed_ || !items_.empty(); });
-      }
-      for (std::size_t left = std::min(max, items_.size()); left > 0; --left) {
-        out.push_back(std::move(items_.front()));
-        items_.pop_front();
-      }
-    }
-    not_full_.notify_all();
-  }
-
   /** Wakes every waiting thread; later pushes fail. */
   void Close() {
     {
--- a/include/tarragon/net/caller_mailbox.h
+++ b/include/tarragon/net/caller_mailbox.h
@@ -30,15 +30,11 @@
   explicit caller_mailbox(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
   /**
-   * Never waits, and leaves a waiting reader asleep until `WakeReader`. A message that does not fit
-   * closes the mailbox: the caller has stopped reading.
+   * Never waits. A message that does not fit closes the mailbox: the caller has stopped reading.
    * @return false if the mailbox is closed.
    */
   bool TryPush(caller_message&& message);
 
-  /** Follows one or more pushes, also a failed one. Waking a thread costs more than a push. */
-  void WakeReader();
-
   /** @return the oldest message, or empty after `wait` or when the mailbox is closed. */
   std::optional<caller_message> Pop(duration wait);
 
--- a/src/net/caller_mailbox.cc
+++ b/src/net/caller_mailbox.cc
@@ -20,31 +20,31 @@
 
 bool caller_mailbox::TryPush(caller_message&& message) {
   const std::size_t bytes = Bytes(message);
-  std::lock_guard lock(mutex_);
-  if (closed_) {
-    return false;
-  }
-  // An empty mailbox takes a message of any size, such as the body of a service answer.
-  const bool pushed = entries_.empty() || bytes_ + bytes <= max_bytes_;
-  if (pushed) {
-    entries_.push_back({std::move(message), bytes});
-    bytes_ += bytes;
-  } else {
-    closed_ = true;
-    entries_.clear();
-    bytes_ = 0;
+  bool pushed = false;
+  {
+    std::lock_guard lock(mutex_);
+    if (closed_) {
+      return false;
+    }
+    // An empty mailbox takes a message of any size, such as the body of a service answer.
+    pushed = entries_.empty() || bytes_ + bytes <= max_bytes_;
+    if (pushed) {
+      entries_.push_back({std::move(message), bytes});
+      bytes_ += bytes;
+    } else {
+      closed_ = true;
+      entries_.clear();
+      bytes_ = 0;
+    }
   }
-  return pushed;
-}
-
-void caller_mailbox::WakeReader() {
   changed_.notify_one();
+  return pushed;
 }
 
 std::optional<caller_message> caller_mailbox::Pop(duration wait) {
   std::unique_lock lock(mutex_);
-  // A timed wait goes to the kernel even for no time at all, and the timer slack of 50 us makes
-  // that a sleep. The caller's thread looks for more text this way before each write.
+  // A timed wait goes to the kernel even for no time at all, and the timer slack of 50 us makes that
+  // a sleep. The caller's thread looks for more text this way before each write.
   if (wait > duration::zero()) {
     changed_.wait_for(lock, wait, [this] { return closed_ || !entries_.empty(); });
   }
--- a/src/net/core_thread.cc
+++ b/src/net/core_thread.cc
@@ -20,11 +20,6 @@
 
 constexpr std::chrono::milliseconds kTickInterval{20};
 constexpr std::chrono::milliseconds kPublishInterval{250};
-// Callers' threads are woken after a batch of events, since waking one takes several times as long
-// as an event. A tenth of the 1 ms that an entry may add bounds how long the first one waits for
-// it.
-constexpr std::chrono::microseconds kMaxWakeDelay{100};
-constexpr std::size_t kMaxBatch = 64;
 
 struct core_input {
   decision::event what;
@@ -48,7 +43,6 @@
         ring_wait(counters.Latency("tarragon_core_ring_wait_seconds")),
         handling(counters.Latency("tarragon_core_handling_seconds")),
         deciding(counters.Latency("tarragon_core_deciding_seconds")),
-        waking(counters.Latency("tarragon_core_waking_seconds")),
         links(
             core.upstream,
             [this](decision::event&& what) {
@@ -68,14 +62,20 @@
     while (!ring.IsClosed()) {
       time_point now = time.Now();
       if (now < next_tick) {
-        ring.PopMany(next_tick - now, kMaxBatch, batch);
-        HandleBatch();
+        if (auto input = ring.Pop(next_tick - now)) {
+          now = time.Now();
+          ring_wait.Record(now - input->pushed);
+          if (input->request) {
+            requests[input->request->facts.request] = {input->request, false};
+          }
+          Handle(input->what);
+          handling.Record(time.Now() - now);
+        }
         continue;
       }
       next_tick = now + kTickInterval;
       Handle(decision::tick{});
       RetryClaims();
-      WakeCallers();
       if (now >= next_publish) {
         next_publish = now + kPublishInterval;
         Publish(now);
@@ -83,42 +83,6 @@
     }
   }
 
-  void HandleBatch() {
-    time_point now = time.Now();
-    time_point wake_at = now + kMaxWakeDelay;
-    for (core_input& input : batch) {
-      ring_wait.Record(now - input.pushed);
-      if (input.request) {
-        requests[input.request->facts.request] = {input.request, false};
-      }
-      Handle(input.what);
-      const time_point handled = time.Now();
-      handling.Record(handled - now);
-      now = handled;
-      if (now >= wake_at) {
-        now = WakeCallers();
-        wake_at = now + kMaxWakeDelay;
-      }
-    }
-    WakeCallers();
-    batch.clear();
-  }
-
-  /** Wakes the threads whose mailboxes have new messages. @return the time afterwards. */
-  time_point WakeCallers() {
-    const time_point start = time.Now();
-    if (to_wake.empty()) {
-      return start;
-    }
-    for (const open_request_ptr& request : to_wake) {
-      request->mailbox.WakeReader();
-    }
-    to_wake.clear();
-    const time_point end = time.Now();
-    waking.Record(end - start);
-    return end;
-  }
-
   void Publish(time_point now) {
     open_gauge.Set(static_cast<std::int64_t>(engine.OpenRequests()));
     decision::peer_state current = engine.LocalState(now);
@@ -205,10 +169,6 @@
       return;
     }
     const bool last = std::holds_alternative<decision::finish_request>(message);
-    // Messages of one request mostly follow each other.
-    if (to_wake.empty() || to_wake.back() != found->second.request) {
-      to_wake.push_back(found->second.request);
-    }
     if (!found->second.request->mailbox.TryPush(std::move(message)) && !last) {
       // The caller does not read: for the engine it is gone, and it may return with its ticket.
       found->second.gone = true;
@@ -251,14 +211,9 @@
   latency_histogram& ring_wait;
   latency_histogram& handling;
   latency_histogram& deciding;
-  /** Per batch of wake-ups. */
-  latency_histogram& waking;
   std::unordered_map<request_id, open_entry> requests;
   std::unordered_map<std::string, std::string> addresses;
   std::vector<decision::action> actions;
-  std::vector<core_input> batch;
-  /** Callers with messages that their threads were not yet woken for. */
-  std::vector<open_request_ptr> to_wake;
   std::deque<decision::event> follow_ups;
   /** Completions and releases that the claim thread had no room for. */
   std::deque<claim_action> unwritten;
--- a/tests/base/bounded_ring_test.cc
+++ b/tests/base/bounded_ring_test.cc
@@ -4,8 +4,6 @@
 
 #include <memory>
 #include <thread>
-#include <utility>
-#include <vector>
 
 namespace tarragon {
 namespace {
@@ -46,35 +44,5 @@
   producer.join();
 }
 
-// Guards against items lost, reordered or taken beyond the bound, and against producers of a full
-// ring that stay asleep after more than one place became free.
-TEST(BoundedRing, PopManyKeepsOrderAndWakesAllProducers) {
-  constexpr int kProducers = 4;
-  constexpr int kItems = 2000;
-  bounded_ring<std::pair<int, int>> ring(3);
-  std::vector<std::thread> producers;
-  for (int p = 0; p < kProducers; ++p) {
-    producers.emplace_back([&ring, p] {
-      for (int i = 0; i < kItems; ++i) {
-        EXPECT_TRUE(ring.Push({p, i}));
-      }
-    });
-  }
-  std::vector<int> next(kProducers);
-  std::vector<std::pair<int, int>> items;
-  for (int taken = 0; taken < kProducers * kItems; taken += static_cast<int>(items.size())) {
-    items.clear();
-    ring.PopMany(std::chrono::seconds(60), 2, items);
-    ASSERT_FALSE(items.empty());
-    ASSERT_LE(items.size(), 2U);
-    for (const auto& [producer, index] : items) {
-      ASSERT_EQ(index, next[producer]++);
-    }
-  }
-  for (std::thread& producer : producers) {
-    producer.join();
-  }
-}
-
 }  // namespace
 }  // namespace tarragon
--- a/tests/net/caller_mailbox_test.cc
+++ b/tests/net/caller_mailbox_test.cc
@@ -39,10 +39,6 @@
   std::thread producer([&] {
     for (std::uint32_t i = 0; i < kTokens; ++i) {
       mailbox.TryPush(Token(i, 1));
-      // The reader may not depend on a wake-up for each message.
-      if (i % 3 == 2 || i + 1 == kTokens) {
-        mailbox.WakeReader();
-      }
     }
   });
   for (std::uint32_t i = 0; i < kTokens; ++i) {
