Refuse connections when all are in use

Cause: a connection beyond max_connections blocked the acceptor, so that it and all later callers waited without an answer. The listen queue was ruled out as a fault: it is already raised from the library's 5 to 1024.

Change: the task queue hands such a connection to one of 16 threads that answer 503 with not-run and Retry-After before reading the request.

Before and after: with one of one connections in use a further one got no answer, now 503. Both new tests were run with the mechanism absent: with a backlog of 5 the burst of 500 connects did not finish in 20 s, and without refusals the other test fails.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -25,7 +25,10 @@
 
 using steady = std::chrono::steady_clock;
 
+constexpr std::chrono::milliseconds kRefusalRetryAfter{1000};
 constexpr int kListenBacklog = 1024;
+// A refusal takes as long as the client takes to close, at most `kLingerTimeout`.
+constexpr std::size_t kMaxRefusals = 16;
 constexpr std::size_t kMaxRequestsPerConnection = 1'000'000;
 constexpr std::size_t kReadBufferBytes = 4096;
 constexpr std::chrono::milliseconds kPeerCheckInterval{100};
@@ -42,10 +45,13 @@
 constexpr int kHttpNotFound = 404;
 constexpr int kHttpRequestTimeout = 408;
 constexpr int kHttpTooLarge = 413;
+constexpr int kHttpUnavailable = 503;
 constexpr int kHttpUriTooLong = 414;
 constexpr int kHttpHeadersTooLarge = 431;
 
 thread_local http_connection* current_connection = nullptr;
+// The library passes a connection to its task queue as an opaque task.
+thread_local bool refuses_connections = false;
 
 bool WaitFor(int socket, short events, std::chrono::milliseconds timeout) {
   pollfd waiting{.fd = socket, .events = events, .revents = 0};
@@ -213,12 +219,25 @@
 
 class task_queue final : public httplib::TaskQueue {
  public:
-  explicit task_queue(thread_pool& threads) : threads_(threads) {}
-  void enqueue(std::function<void()> task) override { threads_.Run(std::move(task)); }
-  void shutdown() override { threads_.Stop(); }
+  task_queue(thread_pool& threads, thread_pool& refusals)
+      : threads_(threads), refusals_(refusals) {}
+  void enqueue(std::function<void()> task) override {
+    if (threads_.TryRun(task)) {
+      return;
+    }
+    refusals_.Run([task = std::move(task)] {
+      refuses_connections = true;
+      task();
+    });
+  }
+  void shutdown() override {
+    threads_.Stop();
+    refusals_.Stop();
+  }
 
  private:
   thread_pool& threads_;
+  thread_pool& refusals_;
 };
 
 void SetError(httplib::Response& response, int status, std::string code, std::string message) {
@@ -230,6 +249,19 @@
   http_connection::Current().CloseAfterAnswer();
 }
 
+/** Answers a connection whose request is not read, so that it certainly did not run. */
+void Refuse(connection& here) {
+  const http_error error{.status = kHttpUnavailable,
+                         .code = "too_many_connections",
+                         .message = "all connections of the entry are in use"};
+  const std::string body = error.Body();
+  const std::string answer = fmt::format(
+      "HTTP/1.1 503 Service Unavailable\r\nRun-Verdict: {}\r\nRetry-After: {}\r\n"
+      "Content-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{}",
+      ToString(error.verdict), RetryAfterSeconds(kRefusalRetryAfter), body.size(), body);
+  here.write(answer.data(), answer.size());
+}
+
 /** Gives the answers that the library makes itself the form of all others. */
 void FillLibraryError(httplib::Response& response) {
   const auto& here = static_cast<connection&>(http_connection::Current());
@@ -255,8 +287,8 @@
 }
 
 http_server::http_server(http_server_options options, handler handle)
-    : options_(options), threads_(options.max_connections) {
-  new_task_queue = [this] { return new task_queue(threads_); };
+    : options_(options), threads_(options.max_connections), refusals_(kMaxRefusals) {
+  new_task_queue = [this] { return new task_queue(threads_, refusals_); };
   set_payload_max_length(options_.max_body_bytes);
   set_keep_alive_max_count(kMaxRequestsPerConnection);
   set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
@@ -306,6 +338,7 @@
   if (acceptor_.joinable()) {
     stop();
     threads_.Stop();
+    refusals_.Stop();
     acceptor_.join();
   }
 }
@@ -351,6 +384,11 @@
   const int on = 1;
   ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   connection here(socket, options_);
+  if (refuses_connections) {
+    Refuse(here);
+    CloseGently(socket);
+    return true;
+  }
   current_connection = &here;
   bool open = true;
   while (open) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -15,7 +15,7 @@
 namespace tarragon::net {
 
 struct http_server_options {
-  /** Open connections; each has a thread. Further ones wait in the listen queue. */
+  /** Open connections; each has a thread. Further ones are refused with 503 and `not-run`. */
   std::size_t max_connections = 1024;
   std::size_t max_body_bytes = std::size_t{1} << 20;
   std::size_t max_header_bytes = std::size_t{32} << 10;
@@ -68,6 +68,8 @@
 
   const http_server_options options_;
   thread_pool threads_;
+  /** Answers connections that no thread is free for. */
+  thread_pool refusals_;
   std::thread acceptor_;
   int port_ = 0;
 };
