--- a/tools/measure_latency.sh
+++ b/tools/measure_latency.sh
@@ -6,68 +6,7 @@
 cd "$(dirname "$0")/.."
 build=${1:-build} streams=${2:-200} tokens=${3:-200} endpoints=${4:-12} step_us=${5:-50000}
 marks=${6:-100}
-port=${MEASURE_PORT:-21930}
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap cleanup EXIT
-mkdir "$work/document"
-cat >"$work/document/models.toml" <<T
-[[model]]
-name = "drafter"
-version = "1"
-T
-cat >"$work/document/accounts.toml" <<T
-[[account]]
-name = "load"
-token_sha256 = "$(printf load-token | sha256sum | cut -d' ' -f1)"
-T
-cat >"$work/document/classes.toml" <<T
-[[class]]
-name = "lookup"
-priority = 0
-loss_policy = "restart"
-default_deadline_ms = 600000
-urgent = true
-T
-cat >"$work/document/services.toml" <<T
-[[service]]
-name = "drafter"
-kind = "model"
-model = "drafter"
-default_class = "lookup"
-T
-: >"$work/document/drill.toml"
-list=
-printf '[[vm]]\nname = "entry-1"\n' >"$work/document/fleet.toml"
-for i in $(seq "$endpoints"); do
-  address="127.0.0.1:$((port + i))"
-  list+="${list:+,}$address"
-  printf '[[endpoint]]\nname = "drafter-%02d"\naddress = "%s"\nservice = "drafter"\nfailure_domain = "a"\n' \
-    "$i" "$address" >>"$work/document/fleet.toml"
-  "$build/bin/fake_endpoint" --listen "$address" --name "drafter-$i" --slots 256 --kv_tokens 100000000 \
-    --step_us "$step_us" --step_per_stream_us 0 --prefill_us 0 2>/dev/null & pids+=($!)
-done
-cat >"$work/entry.toml" <<T
-[vm]
-name = "entry-1"
-failure_domain = "a"
-[listen]
-callers = "127.0.0.1:$port"
-[document]
-directory = "$work/document"
-[platform]
-address = "127.0.0.1:1"
-[tickets]
-key = "0123456789abcdef0123456789abcdef"
-T
-"$build/bin/tarragon-entry" --settings "$work/entry.toml" 2>"$work/entry.log" & pids+=($!)
-for _ in $(seq 100); do curl -fs "http://127.0.0.1:$port/readyz" >/dev/null && break; sleep 0.05; done
-sleep 1
+. tools/start_measured_entry.sh
 "$build/bin/tarragon-load" --mode latency --entry "127.0.0.1:$port" --endpoints "$list" \
   --token load-token --streams "$streams" --tokens "$tokens" --marks "$marks"
 # How long an event waited for the core thread, and how long the core thread took for it.
