--- a/src/net/caller_mailbox.cc
+++ b/src/net/caller_mailbox.cc
@@ -43,8 +43,8 @@
 
 std::optional<caller_message> caller_mailbox::Pop(duration wait) {
   std::unique_lock lock(mutex_);
-  // A timed wait goes to the kernel even for no time at all, and the timer slack of 50 us makes that
-  // a sleep. The caller's thread looks for more text this way before each write.
+  // A timed wait goes to the kernel even for no time at all, and the timer slack of 50 us makes
+  // that a sleep. The caller's thread looks for more text this way before each write.
   if (wait > duration::zero()) {
     changed_.wait_for(lock, wait, [this] { return closed_ || !entries_.empty(); });
   }
