Add the report on service-level burn

Cause: nothing says how fast the entries use up the error budgets, and the exposed histogram bounds (two per decade) miss 50, 53 and 320 ms.

Change: library burn (parser of the exposition text, event histories, report, table, JSON, HTML) and binary tarragon-burn. Latency histograms use a variable axis: the bounds from before plus those of the objectives, which are exposed. A threshold between two bounds counts at the lower one. Interpolation inside a bucket was ruled out, since it can flatter an objective. Restarts are found by the start time of the process, and by a falling counter only without it: a scrape that lost series would otherwise count all earlier events twice.

Conclusion: the entries still have to expose the metrics by class.

--- /dev/null
+++ b/include/tarragon/burn/exposition.h
@@ -0,0 +1,36 @@
+#ifndef TARRAGON_BURN_EXPOSITION_H_
+#define TARRAGON_BURN_EXPOSITION_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tarragon::burn {
+
+/** One series of a scrape. */
+struct metric_point {
+  std::string name;
+  std::map<std::string, std::string, std::less<>> labels;
+  double value = 0;
+
+  /** @return the label's value, or an empty text. */
+  std::string_view Label(std::string_view key) const;
+};
+
+struct exposition {
+  std::vector<metric_point> points;
+  /** Lines that are neither a comment nor a finite, non-negative sample. */
+  std::size_t damaged_lines = 0;
+};
+
+/** Reads the text exposition format, version 0.0.4. Damaged lines are counted and skipped. */
+exposition ParseExposition(std::string_view text);
+
+/** @return the lines of `text` whose metric name starts with one of `prefixes`. */
+std::string KeepMetrics(std::string_view text, const std::vector<std::string>& prefixes);
+
+}  // namespace tarragon::burn
+
+#endif  // TARRAGON_BURN_EXPOSITION_H_
--- /dev/null
+++ b/include/tarragon/burn/html_report.h
@@ -0,0 +1,19 @@
+#ifndef TARRAGON_BURN_HTML_REPORT_H_
+#define TARRAGON_BURN_HTML_REPORT_H_
+
+#include <string>
+#include <string_view>
+
+#include "tarragon/burn/burn_report.h"
+
+namespace tarragon::burn {
+
+/** @return text for an element or a quoted attribute; control characters become spaces. */
+std::string EscapeHtml(std::string_view text);
+
+/** @return a page of its own, without a script or a reference to another file. */
+std::string RenderHtml(const burn_report& report);
+
+}  // namespace tarragon::burn
+
+#endif  // TARRAGON_BURN_HTML_REPORT_H_
--- a/src/base/latency_histogram.cc
+++ b/src/base/latency_histogram.cc
@@ -2,20 +2,21 @@
 
 #include <algorithm>
 #include <boost/histogram.hpp>
+#include <iterator>
 #include <mutex>
 
+#include "base/latency_bounds.h"
+
 namespace tarragon {
 
 namespace {
 
-constexpr int kBins = 160;  // 8 decades, 20 bins each: 12% wide
-constexpr double kLowestSeconds = 1e-5;
-constexpr double kHighestSeconds = 1e3;
-
-using log_axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+using bound_axis = boost::histogram::axis::variable<double>;
 
 auto MakeHistogram() {
-  return boost::histogram::make_histogram(log_axis(kBins, kLowestSeconds, kHighestSeconds));
+  std::vector<double> edges;
+  std::ranges::transform(LatencyBounds(), std::back_inserter(edges), &latency_bound::seconds);
+  return boost::histogram::make_histogram(bound_axis(edges));
 }
 
 double Seconds(duration d) {
@@ -39,10 +40,8 @@
 latency_histogram::~latency_histogram() = default;
 
 void latency_histogram::Record(duration sample) {
-  // A log axis has no bin for zero.
-  const double seconds = std::max(Seconds(sample), kLowestSeconds / 10);
   std::lock_guard lock(state_->mutex);
-  state_->bins(seconds);
+  state_->bins(Seconds(sample));
   state_->count += 1;
   state_->sum += sample;
 }
@@ -69,9 +68,10 @@
 std::vector<latency_histogram::cumulative_bin> latency_histogram::Cumulative() const {
   std::lock_guard lock(state_->mutex);
   std::vector<cumulative_bin> result;
-  result.reserve(kBins + 1);
+  const int bins = state_->bins.axis().size();
+  result.reserve(static_cast<std::size_t>(bins) + 1);
   auto total = static_cast<std::uint64_t>(state_->bins.at(-1));
-  for (int i = 0; i < kBins; ++i) {
+  for (int i = 0; i < bins; ++i) {
     total += static_cast<std::uint64_t>(state_->bins.at(i));
     result.push_back({FromSeconds(state_->bins.axis().bin(i).upper()), total});
   }
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -4,13 +4,12 @@
 
 #include <iterator>
 
+#include "base/latency_bounds.h"
+
 namespace tarragon {
 
 namespace {
 
-// Every tenth bin is exposed (two per decade), so that a scrape stays small.
-constexpr std::size_t kExposedBinStep = 10;
-
 std::string Braces(std::string_view labels) {
   return labels.empty() ? std::string() : fmt::format("{{{}}}", labels);
 }
@@ -42,10 +41,13 @@
   auto sink = std::back_inserter(out);
   const auto bins = latency.Cumulative();
   const std::string_view comma = labels.empty() ? "" : ",";
-  for (std::size_t i = kExposedBinStep - 1; i + 1 < bins.size(); i += kExposedBinStep) {
-    const double bound = std::chrono::duration<double>(bins[i].upper_bound).count();
-    fmt::format_to(sink, "{}_bucket{{{}{}le=\"{:.4g}\"}} {}\n", name, labels, comma, bound,
-                   bins[i].count);
+  const std::vector<latency_bound>& bounds = LatencyBounds();
+  // A sample that equals a bound is counted above it, so a bucket never flatters an objective.
+  for (std::size_t i = 0; i + 1 < bins.size(); ++i) {
+    if (const latency_bound& upper = bounds[i + 1]; upper.exposed) {
+      fmt::format_to(sink, "{}_bucket{{{}{}le=\"{:.4g}\"}} {}\n", name, labels, comma,
+                     upper.seconds, bins[i].count);
+    }
   }
   fmt::format_to(sink, "{}_bucket{{{}{}le=\"+Inf\"}} {}\n", name, labels, comma, bins.back().count);
   fmt::format_to(sink, "{}_sum{} {}\n", name, Braces(labels),
--- /dev/null
+++ b/src/burn/counter_reading.cc
@@ -0,0 +1,138 @@
+#include "burn/counter_reading.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+#include "tarragon/base/metric_names.h"
+
+namespace tarragon::burn {
+
+namespace {
+
+// Later starts are damage: the conversion of their milliseconds could overflow.
+constexpr double kLatestStartMs = 1e14;
+
+bool IsSelected(const settings::objective& objective, const metric_point& point) {
+  const auto matches = [](const std::vector<std::string>& wanted, std::string_view value) {
+    return wanted.empty() || std::ranges::find(wanted, value) != wanted.end();
+  };
+  return !point.Label("class").empty() && matches(objective.classes, point.Label("class")) &&
+         (objective.request_kind.empty() || point.Label("kind") == objective.request_kind);
+}
+
+objective_reading ReadOutcomes(const settings::objective& objective,
+                               const std::vector<metric_point>& points) {
+  objective_reading reading;
+  for (const metric_point& point : points) {
+    if (point.name != kOutcomesMetric || !IsSelected(objective, point)) {
+      continue;
+    }
+    const auto is_in = [&](const std::vector<std::string>& outcomes) {
+      return std::ranges::find(outcomes, point.Label("outcome")) != outcomes.end();
+    };
+    event_counts& counts = reading.classes[std::string(point.Label("class"))];
+    counts.good += is_in(objective.good) ? point.value : 0;
+    counts.total += is_in(objective.counted) ? point.value : 0;
+  }
+  return reading;
+}
+
+double Bound(const metric_point& point) {
+  const std::string_view text = point.Label("le");
+  double bound = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), bound);
+  return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size()
+             ? bound
+             : std::numeric_limits<double>::infinity();
+}
+
+objective_reading ReadLatency(const settings::objective& objective,
+                              const std::vector<metric_point>& points) {
+  const std::string buckets = objective.metric + "_bucket";
+  const std::string count = objective.metric + "_count";
+  const double threshold = std::chrono::duration<double>(objective.threshold).count();
+  objective_reading reading;
+  for (const metric_point& point : points) {
+    if (point.name == buckets && IsSelected(objective, point) && Bound(point) <= threshold) {
+      reading.counted_seconds = std::max(reading.counted_seconds, Bound(point));
+    }
+  }
+  for (const metric_point& point : points) {
+    const bool is_bucket = point.name == buckets;
+    if ((is_bucket || point.name == count) && IsSelected(objective, point)) {
+      event_counts& counts = reading.classes[std::string(point.Label("class"))];
+      if (!is_bucket) {
+        counts.total += point.value;
+      } else if (Bound(point) == reading.counted_seconds) {
+        counts.good += point.value;
+      }
+    }
+  }
+  return reading;
+}
+
+bool IsCounter(const metric_point& point) {
+  return point.name.ends_with("_total") || point.name.ends_with("_bucket") ||
+         point.name.ends_with("_count");
+}
+
+std::string SeriesKey(const metric_point& point) {
+  std::string key = point.name;
+  for (const auto& [label, value] : point.labels) {
+    key += '\0' + label + '\0' + value;
+  }
+  return key;
+}
+
+}  // namespace
+
+objective_reading ReadObjective(const settings::objective& objective,
+                                const std::vector<metric_point>& points) {
+  return objective.kind == settings::objective_kind::kOutcome ? ReadOutcomes(objective, points)
+                                                              : ReadLatency(objective, points);
+}
+
+scrape_check restart_detector::Check(wall_time_point at,
+                                     wall_time_point history_start,
+                                     const std::vector<metric_point>& points) {
+  std::map<std::string, double> values;
+  std::optional<wall_time_point> started;
+  for (const metric_point& point : points) {
+    if (IsCounter(point)) {
+      values.emplace(SeriesKey(point), point.value);
+    } else if (point.name == kProcessStartMetric && point.value <= kLatestStartMs) {
+      started = wall_time_point(std::chrono::milliseconds(static_cast<std::int64_t>(point.value)));
+    }
+  }
+  const bool fell = std::ranges::any_of(values_, [&](const auto& before) {
+    const auto after = values.find(before.first);
+    return after == values.end() || after->second < before.second;
+  });
+  // A counter that fell shows a restart only if no start time is exposed. Otherwise the scrape is
+  // damaged, and taking it for a restart would count the events before it twice.
+  if (values.empty() && !started) {
+    return {};
+  }
+  if (started_ && (!started || (fell && *started == *started_))) {
+    return {};
+  }
+  const bool restarted = last_ && (started_ ? *started != *started_ : fell);
+  restarts_ += restarted ? 1 : 0;
+
+  std::optional<wall_time_point> zero_at;
+  if (restarted) {
+    // The clocks of the entry and of the scraper may differ, so the start is only used if it fits.
+    zero_at = started && *started > *last_ && *started < at ? *started : *last_;
+  } else if (!last_ && started && *started >= history_start && *started < at) {
+    zero_at = *started;
+  }
+  values_ = std::move(values);
+  started_ = started;
+  last_ = at;
+  return {.usable = true, .zero_at = zero_at};
+}
+
+}  // namespace tarragon::burn
--- a/src/settings/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
+#include <optional>
 #include <utility>
 
 namespace tarragon::settings {
@@ -160,6 +162,43 @@
   value = number->get();
 }
 
+void settings_table::Number(std::string_view key,
+                            need needed,
+                            double lowest,
+                            double highest,
+                            double& value) {
+  const std::string expected = fmt::format("expected a number from {} to {}", lowest, highest);
+  const toml::node* node = Find(key, needed, expected);
+  if (node == nullptr) {
+    return;
+  }
+  const std::optional<double> number = node->value<double>();
+  // Written so that a NaN is outside.
+  if (!number || !(*number >= lowest && *number <= highest)) {
+    Fault(key, expected);
+    return;
+  }
+  value = *number;
+}
+
+std::vector<const toml::table*> settings_table::Tables(std::string_view key) {
+  constexpr std::string_view kExpected = "expected a list of tables";
+  std::vector<const toml::table*> tables;
+  const toml::node* node = Find(key, need::kOptional, kExpected);
+  if (node == nullptr) {
+    return tables;
+  }
+  const toml::array* list = node->as_array();
+  if (list == nullptr ||
+      !std::ranges::all_of(*list, [](const toml::node& item) { return item.is_table(); })) {
+    Fault(key, kExpected);
+    return tables;
+  }
+  std::ranges::transform(*list, std::back_inserter(tables),
+                         [](const toml::node& item) { return item.as_table(); });
+  return tables;
+}
+
 void settings_table::Milliseconds(std::string_view key,
                                   std::int64_t lowest,
                                   std::int64_t highest,
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -54,12 +54,16 @@
                std::int64_t lowest,
                std::int64_t highest,
                std::int64_t& value);
+  /** An integer or a decimal number. */
+  void Number(std::string_view key, need needed, double lowest, double highest, double& value);
   void Milliseconds(std::string_view key,
                     std::int64_t lowest,
                     std::int64_t highest,
                     std::chrono::milliseconds& value);
   /** One of `names`; `index` receives its position. */
   void Choice(std::string_view key, const std::vector<std::string_view>& names, std::size_t& index);
+  /** @return the tables of the list under `key`; reports a value of another type. */
+  std::vector<const toml::table*> Tables(std::string_view key);
   /** @return the table under `key`; reports a value of another type. */
   const toml::table* Table(std::string_view key);
 
--- a/tests/base/metrics_test.cc
+++ b/tests/base/metrics_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <utility>
+
 namespace tarragon {
 namespace {
 
@@ -38,5 +41,18 @@
   EXPECT_EQ(histogram.Cumulative().back().count, 2U);
 }
 
+// Guards against objectives whose bound is no bucket bound, and against a sample on a bound that
+// counts as faster than it.
+TEST(Metrics, BucketsFallOnTheBoundsOfObjectives) {
+  for (const auto& [ms, le] : {std::pair(50, "0.05"), std::pair(53, "0.053"),
+                               std::pair(250, "0.25"), std::pair(320, "0.32")}) {
+    metrics all;
+    all.Latency("w").Record(milliseconds(ms));
+    all.Latency("w").Record(milliseconds(ms) - std::chrono::nanoseconds(1));
+    const std::string line = std::string("w_bucket{le=\"") + le + "\"} 1\n";
+    EXPECT_NE(all.Expose().find(line), std::string::npos) << line;
+  }
+}
+
 }  // namespace
 }  // namespace tarragon
--- /dev/null
+++ b/tests/settings/objective_settings_test.cc
@@ -0,0 +1,62 @@
+#include "tarragon/settings/objective_settings.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace tarragon::settings {
+namespace {
+
+using ::testing::ElementsAre;
+
+constexpr std::string_view kValid = R"([[objective]]
+name = "whole"
+good = ["whole"]
+counted = ["whole", "failed"]
+target_percent = 99.9
+[[alert]]
+name = "fast"
+short_window_s = 300
+long_window_s = 3600
+burn = 14.4
+)";
+
+std::vector<std::string> Faults(std::string_view old, std::string_view replacement) {
+  std::string text(kValid);
+  text.replace(text.find(old), old.size(), replacement);
+  std::vector<std::string> errors;
+  EXPECT_EQ(objective_settings::Make(text, "o.toml", &errors).has_value(), errors.empty());
+  return errors;
+}
+
+// Guards against values that are read but not kept.
+TEST(ObjectiveSettings, ReadsEveryPart) {
+  const auto settings = objective_settings::Make(kValid, "o.toml", nullptr);
+  ASSERT_TRUE(settings);
+  EXPECT_DOUBLE_EQ(settings->objectives.front().target, 0.999);
+  EXPECT_EQ(settings->objectives.front().period, std::chrono::hours(30 * 24));
+  EXPECT_EQ(settings->alerts.front().burn, 14.4);
+  EXPECT_THAT(settings->windows, ElementsAre(std::chrono::minutes(5), std::chrono::hours(1)));
+}
+
+// Guards against objectives that are accepted and can never be computed, and against messages
+// without place or expectation.
+TEST(ObjectiveSettings, ReportsFaults) {
+  EXPECT_THAT(Faults("99.9", "100"), ElementsAre("o.toml:5: objective[0].target_percent: "
+                                                 "expected a number from 0.001 to 99.9999"));
+  EXPECT_THAT(Faults("99.9", "nan"), ElementsAre("o.toml:5: objective[0].target_percent: "
+                                                 "expected a number from 0.001 to 99.9999"));
+  EXPECT_THAT(Faults("good = [\"whole\"]", "good = [\"late\"]"),
+              ElementsAre("o.toml:3: objective[0].good: "
+                          "expected outcomes that are listed in counted"));
+  EXPECT_THAT(Faults("= 300", "= 7200"),
+              ElementsAre("o.toml:8: alert[0].short_window_s: expected less than long_window_s"));
+  EXPECT_THAT(
+      Faults("burn = 14.4", ""),
+      ElementsAre("o.toml:6: alert[0].burn: missing; expected a number from 0.001 to 1e+06"));
+  EXPECT_THAT(Faults("name = \"whole\"", "name = \"whole\"\ncolour = 1"),
+              ElementsAre("o.toml:3: objective[0].colour: unknown key; expected one of classes, "
+                          "counted, good, kind, name, period_days, target_percent"));
+}
+
+}  // namespace
+}  // namespace tarragon::settings
