Expose outcomes and latencies by request class

Cause: the entries count ended requests by verdict and status only, and have no time to the first token, between tokens, of answers or of refusals.

Change: one counter of outcomes by class in the decision library, four histograms by class and kind at the caller's connection, and the start time of the process. Gaps of held answers are not recorded: they come as one piece and would flatter the objective. Labels by account were ruled out as unbounded.

--- a/src/decision/engine_core.cc
+++ b/src/decision/engine_core.cc
@@ -8,6 +8,8 @@
 
 #include "tarragon/base/hash.h"
 #include "tarragon/base/invariant.h"
+#include "tarragon/base/metric_names.h"
+#include "tarragon/decision/request_outcome.h"
 
 namespace tarragon::decision {
 
@@ -91,6 +93,11 @@
       .Counter("tarragon_requests_finished_total",
                fmt::format("verdict=\"{}\",status=\"{}\"", ToString(verdict), how.status))
       .Add();
+  const bool in_time = now <= record.facts.deadline;
+  counters
+      .Counter(kOutcomesMetric,
+               OutcomeLabels(record.rule.name, OutcomeOf(how.reason, verdict, in_time)))
+      .Add();
   Emit(finish_request{id, verdict, how.reason, how.status, std::move(how.engine_reason),
                       std::move(how.message), how.retry_after});
   record.phase = request_phase::kFinished;
--- a/src/net/caller_api.cc
+++ b/src/net/caller_api.cc
@@ -6,7 +6,9 @@
 
 #include <httplib.h>
 #include "net/http_server.h"
+#include "tarragon/base/metric_names.h"
 #include "tarragon/base/metrics.h"
+#include "tarragon/decision/request_outcome.h"
 #include "tarragon/document/document_replica.h"
 #include "tarragon/net/answer_writer.h"
 #include "tarragon/net/core_thread.h"
@@ -102,6 +104,7 @@
         core(core_to_use),
         documents(holder),
         time(source),
+        registry(counters),
         requests(counters.Counter("tarragon_requests_total")),
         rejected(counters.Counter("tarragon_requests_rejected_total")),
         callers_gone(counters.Counter("tarragon_callers_gone_total")),
@@ -109,11 +112,15 @@
 
   /** One answer in progress. Tells the core when the caller is gone. */
   struct exchange {
-    exchange(state& owner, open_request_ptr open, const caller_request& request)
+    exchange(state& owner, open_request_ptr open, const caller_request& request, time_point arrived)
         : api(owner),
+          start(arrived),
+          last_token(arrived),
           request(std::move(open)),
           held(request.held),
-          writer(request.format, request.model) {
+          writer(request.format, request.model),
+          first_token(api.Latency(kFirstTokenMetric, this->request->facts)),
+          between_tokens(api.Latency(kBetweenTokensMetric, this->request->facts)) {
       api.open_answers.fetch_add(1);
     }
     ~exchange() {
@@ -152,6 +159,26 @@
           .Sign(api.options.ticket_key);
     }
 
+    /** Called as a token is handed to the caller's connection. */
+    void RecordToken() {
+      if (held) {
+        // A held answer comes as one piece, whose gaps of zero would flatter the objective.
+        return;
+      }
+      const time_point now = api.time.Now();
+      (has_token ? between_tokens : first_token).Record(now - last_token);
+      has_token = true;
+      last_token = now;
+    }
+
+    void RecordEnd(const decision::finish_request& finish) const {
+      const std::string_view outcome = decision::OutcomeOf(finish.reason, finish.verdict, true);
+      if (outcome == "whole" || outcome == "refused") {
+        api.Latency(outcome == "whole" ? kAnswerMetric : kRefusalMetric, request->facts)
+            .Record(api.time.Now() - start);
+      }
+    }
+
     /** Appends what a message means for a stream. */
     void Append(const caller_message& message, std::string& out) {
       if (const auto* token = std::get_if<decision::deliver_token>(&message)) {
@@ -159,6 +186,7 @@
           writer.SetGeneration(token->generation);
         }
         writer.AppendToken(*token, out);
+        RecordToken();
       } else if (const auto* start = std::get_if<decision::start_stream>(&message)) {
         writer.SetGeneration(start->generation);
         writer.AppendTicket("resumption-ticket", Ticket(start->endpoint, start->generation), out);
@@ -169,6 +197,7 @@
       } else if (const auto* finish = std::get_if<decision::finish_request>(&message)) {
         writer.AppendEnd(*finish, out);
         finished = true;
+        RecordEnd(*finish);
       }
     }
 
@@ -200,19 +229,32 @@
     }
 
     state& api;
+    const time_point start;
+    time_point last_token;
     const open_request_ptr request;
     const bool held;
     answer_writer writer;
+    latency_histogram& first_token;
+    latency_histogram& between_tokens;
     std::optional<caller_message> first;
     bool finished = false;
+    bool has_token = false;
   };
 
+  /** @return the series of the request's class and kind. */
+  latency_histogram& Latency(std::string_view name, const decision::request_facts& facts) const {
+    const bool is_call = facts.kind == decision::request_kind::kServiceCall;
+    return registry.Latency(name, decision::ClassLabel(facts.request_class) +
+                                      (is_call ? ",kind=\"call\"" : ",kind=\"generation\""));
+  }
+
   void AnswerStream(std::shared_ptr<exchange> one,
                     caller_message first,
                     httplib::Response& response) {
     if (const auto* finish = std::get_if<decision::finish_request>(&first);
         finish != nullptr && finish->reason != decision::finish_reason::kCompleted) {
       one->finished = true;
+      one->RecordEnd(*finish);
       Answer(MakeError(*finish), response);
       return;
     }
@@ -244,6 +286,7 @@
         result = std::move(*whole);
       } else if (const auto* finish = std::get_if<decision::finish_request>(&*message)) {
         one.finished = true;
+        one.RecordEnd(*finish);
         Finish(one, *finish, result, response);
         return;
       }
@@ -281,6 +324,10 @@
     const time_point start = time.Now();
     if (!core.TryOpen(open, std::move(arrival))) {
       rejected.Add();
+      registry
+          .Counter(kOutcomesMetric, decision::OutcomeLabels(request.facts.request_class, "refused"))
+          .Add();
+      Latency(kRefusalMetric, request.facts).Record(time.Now() - start);
       Answer({.status = kHttpUnavailable,
               .code = "overloaded",
               .message = "the entry cannot take a request now",
@@ -288,7 +335,7 @@
              response);
       return;
     }
-    auto one = std::make_shared<exchange>(*this, std::move(open), request);
+    auto one = std::make_shared<exchange>(*this, std::move(open), request, start);
     auto first = one->Next();
     first_message.Record(time.Now() - start);
     if (!first) {
@@ -321,6 +368,7 @@
   core_thread& core;
   const document::document_replica& documents;
   const clock& time;
+  metrics& registry;
   counter& requests;
   counter& rejected;
   counter& callers_gone;
--- a/src/net/entry_process.cc
+++ b/src/net/entry_process.cc
@@ -11,6 +11,7 @@
 #include "net/http_server.h"
 #include "tarragon/base/hash.h"
 #include "tarragon/base/log.h"
+#include "tarragon/base/metric_names.h"
 #include "tarragon/base/metrics.h"
 #include "tarragon/document/document_replica.h"
 #include "tarragon/net/caller_api.h"
@@ -159,6 +160,8 @@
     counters.Counter("tarragon_process_cpu_milliseconds")
         .Set(ms(usage.ru_utime) + ms(usage.ru_stime));
     counters.Gauge("tarragon_process_peak_memory_kilobytes").Set(usage.ru_maxrss);
+    // Tells a reader of the counters that they started again from zero.
+    counters.Gauge(kProcessStartMetric).Set(start_time.time_since_epoch().count());
   }
 
   bool IsTeam(const httplib::Request& request) const {
@@ -197,6 +200,7 @@
 
   const settings::entry_settings settings;
   const clock& time;
+  const wall_time_point start_time = time.WallNow();
   metrics counters;
   document::document_replica documents;
   std::atomic<bool> draining{false};
