--- a/src/base/latency_bounds.cc
+++ b/src/base/latency_bounds.cc
@@ -33,8 +33,8 @@
 }  // namespace
 
 const std::vector<latency_bound>& LatencyBounds() {
-  static const std::vector<latency_bound> bounds = MakeBounds();
-  return bounds;
+  static const std::vector<latency_bound> kBounds = MakeBounds();
+  return kBounds;
 }
 
 }  // namespace tarragon
--- a/src/burn/burn_report.cc
+++ b/src/burn/burn_report.cc
@@ -27,6 +27,7 @@
 
 std::vector<const sample*> Sorted(const std::vector<sample>& samples) {
   std::vector<const sample*> sorted;
+  sorted.reserve(samples.size());
   for (const sample& one : samples) {
     sorted.push_back(&one);
   }
--- a/src/burn/counter_reading.cc
+++ b/src/burn/counter_reading.cc
@@ -82,7 +82,7 @@
 std::string SeriesKey(const metric_point& point) {
   std::string key = point.name;
   for (const auto& [label, value] : point.labels) {
-    key += '\0' + label + '\0' + value;
+    key.append(1, '\0').append(label).append(1, '\0').append(value);
   }
   return key;
 }
--- a/src/burn/html_report.cc
+++ b/src/burn/html_report.cc
@@ -139,7 +139,7 @@
   std::string state = has_events ? "ok" : "no events";
   for (const alert_state& alert : row.alerts) {
     if (alert.firing) {
-      state = (state == "ok" ? "" : state + ", ") + alert.name;
+      state = state == "ok" ? alert.name : fmt::format("{}, {}", state, alert.name);
     }
   }
   fmt::format_to(sink,
--- a/src/burn/text_report.cc
+++ b/src/burn/text_report.cc
@@ -15,6 +15,9 @@
 
 using nlohmann::json;
 
+// The last scrape of a run comes a little before its end.
+constexpr double kCovered = 0.99;
+
 std::string Rate(const std::optional<double>& burn) {
   return burn ? fmt::format("{:.2f}", *burn) : "-";
 }
@@ -100,7 +103,8 @@
   fmt::format_to(sink, "{:<{}}  {:<{}}  {:>8}", "objective", width, "class", class_width, "target");
   for (const window_burn& window : report.rows.front().windows) {
     // A star marks a window that the samples do not cover.
-    fmt::format_to(sink, "  {:>7}", SpanText(window.window) + (window.covered < 1 ? "*" : ""));
+    fmt::format_to(sink, "  {:>7}",
+                   SpanText(window.window) + (window.covered < kCovered ? "*" : ""));
   }
   fmt::format_to(sink, "  {:>9}  {:>7}  {}\n", "events", "budget", "alerts");
   for (const burn_row& row : report.rows) {
--- /dev/null
+++ b/tests/decision/request_outcome_test.cc
@@ -0,0 +1,29 @@
+#include "tarragon/decision/request_outcome.h"
+
+#include <gtest/gtest.h>
+
+namespace tarragon::decision {
+namespace {
+
+// Guards against a lost request that passes as an honest refusal, and against refusals for want of
+// capacity that pass as the caller's fault.
+TEST(RequestOutcome, FollowsReasonAndVerdict) {
+  EXPECT_EQ(OutcomeOf(finish_reason::kCompleted, run_verdict::kRan, true), "whole");
+  EXPECT_EQ(OutcomeOf(finish_reason::kCompleted, run_verdict::kRan, false), "late");
+  EXPECT_EQ(OutcomeOf(finish_reason::kLost, run_verdict::kMayHaveRun, true), "failed");
+  EXPECT_EQ(OutcomeOf(finish_reason::kDeadline, run_verdict::kMayHaveRun, false), "failed");
+  EXPECT_EQ(OutcomeOf(finish_reason::kDeadline, run_verdict::kNotRun, false), "refused");
+  EXPECT_EQ(OutcomeOf(finish_reason::kQueueFull, run_verdict::kNotRun, true), "refused");
+  EXPECT_EQ(OutcomeOf(finish_reason::kOverLimit, run_verdict::kNotRun, true), "rejected");
+  EXPECT_EQ(OutcomeOf(finish_reason::kClaimHeld, run_verdict::kMayHaveRun, true), "rejected");
+  EXPECT_EQ(OutcomeOf(finish_reason::kCancelled, run_verdict::kMayHaveRun, true), "cancelled");
+}
+
+// Guards against labels that end early or lie outside the document's classes.
+TEST(RequestOutcome, LabelsAreEscaped) {
+  EXPECT_EQ(OutcomeLabels("a\"b\\\n", "whole"), "class=\"a\\\"b\\\\\\n\",outcome=\"whole\"");
+  EXPECT_EQ(ClassLabel(""), "class=\"unknown\"");
+}
+
+}  // namespace
+}  // namespace tarragon::decision
--- a/tools/tarragon_burn/main.cc
+++ b/tools/tarragon_burn/main.cc
@@ -92,8 +92,9 @@
                                         tarragon::burn::NeededMetrics(settings),
                                         std::chrono::milliseconds(FLAGS_timeout_ms), time);
   std::vector<sample> samples;
-  const auto end = time.Now() + seconds(FLAGS_duration);
-  for (auto next = time.Now(); next <= end; next += seconds(FLAGS_interval)) {
+  const auto start = time.Now();
+  const auto end = start + seconds(FLAGS_duration);
+  for (auto next = start; next <= end; next += seconds(FLAGS_interval)) {
     std::this_thread::sleep_for(next - time.Now());
     const std::vector<sample> scraped = scraper.Scrape();
     if (!Save(scraped)) {
