Send only the sections that changed in the document exchange

Cause: each edit sent the whole document from peer to peer. Change: the request names the section versions that the asking process has, and the answer leaves those out. Ruled out: sending line differences, since an edit of one section is small except in the fleet, and the fleet can be split by failure domain. The syncer's metrics got the prefix `tarragon_`. An edit of the fleet section itself still sends that section whole.

--- a/include/tarragon/net/document_client.h
+++ b/include/tarragon/net/document_client.h
@@ -2,7 +2,6 @@
 #define TARRAGON_NET_DOCUMENT_CLIENT_H_
 
 #include <chrono>
-#include <cstdint>
 #include <string>
 
 #include "tarragon/document/operating_document.h"
@@ -11,14 +10,15 @@
 namespace tarragon::net {
 
 /**
- * Fetches the document from a peer. Blocks the caller.
- * @param newer_than version that the caller has.
+ * Fetches a newer document from a peer; sections that the caller has are not sent again. Blocks
+ * the caller.
+ * @param known document that the caller has; may be null.
  * @param timeout longest time for the whole exchange.
  * @return null if the peer cannot be reached, has nothing newer or sent an invalid document.
  */
 document::document_ptr FetchDocument(const wire::peer_address& peer,
                                      const std::string& key,
-                                     std::uint64_t newer_than,
+                                     const document::document_ptr& known,
                                      std::chrono::milliseconds timeout);
 
 }  // namespace tarragon::net
--- a/include/tarragon/wire/document_message.h
+++ b/include/tarragon/wire/document_message.h
@@ -13,9 +13,17 @@
 inline constexpr std::size_t kMaxDocumentFrame = std::size_t{16} << 20;
 inline constexpr std::size_t kFrameHeaderSize = 4;
 
+/** Version of one section that the asking process has. */
+struct known_section {
+  std::string name;
+  std::uint64_t version = 0;
+};
+
 struct document_request {
   /** The answer is empty unless the peer has a later version. */
   std::uint64_t newer_than = 0;
+  /** Sections that need not be sent again if they have not changed. */
+  std::vector<known_section> known;
 };
 
 struct wire_section {
@@ -29,7 +37,10 @@
 struct document_answer {
   /** 0 if the peer has no newer document. */
   std::uint64_t version = 0;
+  /** Sections that differ from the ones named in the request. */
   std::vector<wire_section> sections;
+  /** Names of the sections that the asking process has already. */
+  std::vector<std::string> unchanged;
 };
 
 /** @return a frame: length of the rest (4 bytes, big-endian), HMAC under `key`, contents. */
--- a/src/net/document_client.cc
+++ b/src/net/document_client.cc
@@ -1,7 +1,9 @@
 #include "tarragon/net/document_client.h"
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
+#include <iterator>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -62,21 +64,47 @@
   bool done_ = false;
 };
 
+wire::document_request ToRequest(const document::document_ptr& known) {
+  wire::document_request request;
+  if (known != nullptr) {
+    request.newer_than = known->version();
+    std::ranges::transform(known->sections(), std::back_inserter(request.known),
+                           [](const document::section& entry) {
+                             return wire::known_section{entry.name, entry.version};
+                           });
+  }
+  return request;
+}
+
+/** Adds the sections that the peer left out. @return false if one of them is not known here. */
+bool AddUnchanged(const std::vector<std::string>& names,
+                  const document::document_ptr& known,
+                  std::vector<document::section>& sections) {
+  return std::ranges::all_of(names, [&](const std::string& name) {
+    const document::section* entry = known == nullptr ? nullptr : known->FindSection(name);
+    if (entry != nullptr) {
+      sections.push_back(*entry);
+    }
+    return entry != nullptr;
+  });
+}
+
 }  // namespace
 
 document::document_ptr FetchDocument(const wire::peer_address& peer,
                                      const std::string& key,
-                                     std::uint64_t newer_than,
+                                     const document::document_ptr& known,
                                      std::chrono::milliseconds timeout) {
   asio::io_context context(1);
-  exchange transfer(context, wire::EncodeFrame(wire::document_request{newer_than}, key));
+  const wire::document_request request = ToRequest(known);
+  exchange transfer(context, wire::EncodeFrame(request, key));
   transfer.Start({ToIp(peer), peer.port});
   context.run_for(timeout);
   if (!transfer.IsDone()) {
     return nullptr;
   }
   std::optional<wire::document_answer> answer = wire::DecodeAnswer(transfer.Frame(), key);
-  if (!answer || answer->version <= newer_than) {
+  if (!answer || answer->version <= request.newer_than) {
     return nullptr;
   }
   std::vector<document::section> sections;
@@ -88,6 +116,9 @@
                         .author = std::move(entry.author),
                         .text = std::move(entry.text)});
   }
+  if (!AddUnchanged(answer->unchanged, known, sections)) {
+    return nullptr;
+  }
   return document::operating_document::Make(answer->version, std::move(sections), nullptr);
 }
 
--- a/src/net/document_server.cc
+++ b/src/net/document_server.cc
@@ -1,5 +1,6 @@
 #include "tarragon/net/document_server.h"
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <atomic>
@@ -16,16 +17,27 @@
 // All peers of 64 VMs may ask at once after an edit; a later one asks again or elsewhere.
 constexpr int kMaxConnections = 64;
 constexpr std::chrono::seconds kConnectionTimeout{5};
-// A request holds one number; a longer one is not ours.
-constexpr std::size_t kMaxRequestFrame = 256;
+// A request holds the versions of six sections; a longer one is not ours.
+constexpr std::size_t kMaxRequestFrame = 2048;
 
-wire::document_answer ToAnswer(const document::document_ptr& document, std::uint64_t newer_than) {
+bool IsKnown(const wire::document_request& request, const document::section& entry) {
+  return std::ranges::any_of(request.known, [&entry](const wire::known_section& known) {
+    return known.name == entry.name && known.version == entry.version;
+  });
+}
+
+wire::document_answer ToAnswer(const document::document_ptr& document,
+                               const wire::document_request& request) {
   wire::document_answer answer;
-  if (document == nullptr || document->version() <= newer_than) {
+  if (document == nullptr || document->version() <= request.newer_than) {
     return answer;
   }
   answer.version = document->version();
   for (const document::section& entry : document->sections()) {
+    if (IsKnown(request, entry)) {
+      answer.unchanged.push_back(entry.name);
+      continue;
+    }
     answer.sections.push_back({.name = entry.name,
                                .version = entry.version,
                                .edit_id = entry.edit_id,
@@ -86,8 +98,7 @@
       if (!request || owner->closed) {
         return;
       }
-      frame =
-          wire::EncodeFrame(ToAnswer(owner->replica.Current(), request->newer_than), owner->key);
+      frame = wire::EncodeFrame(ToAnswer(owner->replica.Current(), *request), owner->key);
       asio::async_write(socket, asio::buffer(frame),
                         [self = shared_from_this()](const asio::error_code&, std::size_t) {
                           self->timer.cancel();
--- a/src/net/document_syncer.cc
+++ b/src/net/document_syncer.cc
@@ -99,24 +99,24 @@
 void document_syncer::CheckPlatform() {
   const auto head = service_.ReadHead();
   if (head.has_error()) {
-    counters_.Counter("document_head_errors_total").Add();
+    counters_.Counter("tarragon_document_head_errors_total").Add();
   } else if (head.value().version > replica_.Version()) {
     LoadFromPlatform();
   } else if (head.value().version < replica_.Version()) {
-    counters_.Counter("document_head_behind_total").Add();
+    counters_.Counter("tarragon_document_head_behind_total").Add();
   } else {
     replica_.Confirm(time_.Now(), head.value().version);
   }
   const auto since = replica_.ConfirmedAt() ? replica_.ConfirmedAt() : replica_.InForceSince();
   const duration age = since ? time_.Now() - *since : duration::zero();
-  counters_.Gauge("document_unconfirmed_ms")
+  counters_.Gauge("tarragon_document_unconfirmed_ms")
       .Set(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
 }
 
 bool document_syncer::LoadFromPlatform() {
   const auto loaded = service_.LoadAll();
   if (loaded.has_error()) {
-    counters_.Counter("document_load_errors_total").Add();
+    counters_.Counter("tarragon_document_load_errors_total").Add();
     return false;
   }
   const bool adopted = Adopt(loaded.value(), "platform");
@@ -126,9 +126,9 @@
 
 bool document_syncer::FetchFrom(const wire::peer_address& peer) {
   const document::document_ptr fetched =
-      FetchDocument(peer, options_.key, replica_.Version(), options_.fetch_timeout);
+      FetchDocument(peer, options_.key, replica_.Current(), options_.fetch_timeout);
   if (fetched == nullptr) {
-    counters_.Counter("document_fetch_errors_total").Add();
+    counters_.Counter("tarragon_document_fetch_errors_total").Add();
     return false;
   }
   return Adopt(fetched, "peer");
@@ -137,11 +137,12 @@
 bool document_syncer::Adopt(const document::document_ptr& candidate, const char* source) {
   switch (replica_.Offer(time_.Now(), candidate)) {
     case document::offer_outcome::kAdopted:
-      counters_.Gauge("document_version").Set(static_cast<std::int64_t>(candidate->version()));
+      counters_.Gauge("tarragon_document_version")
+          .Set(static_cast<std::int64_t>(candidate->version()));
       LogEvent("document_adopted", {{"version", candidate->version()}, {"source", source}});
       return true;
     case document::offer_outcome::kInconsistent:
-      counters_.Counter("document_inconsistent_total").Add();
+      counters_.Counter("tarragon_document_inconsistent_total").Add();
       LogEvent("document_inconsistent", {{"version", candidate->version()}, {"source", source}});
       return false;
     case document::offer_outcome::kSame:
--- a/src/wire/document_message.cc
+++ b/src/wire/document_message.cc
@@ -10,9 +10,14 @@
 
 namespace tarragon::wire {
 
+template <typename Archive>
+void serialize(Archive& archive, known_section& message) {
+  archive(message.name, message.version);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, document_request& message) {
-  archive(message.newer_than);
+  archive(message.newer_than, message.known);
 }
 
 template <typename Archive>
@@ -22,7 +27,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, document_answer& message) {
-  archive(message.version, message.sections);
+  archive(message.version, message.sections, message.unchanged);
 }
 
 namespace {
--- a/tests/net/document_exchange_test.cc
+++ b/tests/net/document_exchange_test.cc
@@ -73,7 +73,7 @@
 // Guards against a document that changes on the way to a peer.
 TEST_F(document_exchange_test, PeerGetsSameSections) {
   Serve(7);
-  const auto fetched = FetchDocument(address_, kKey, 0, kTimeout);
+  const auto fetched = FetchDocument(address_, kKey, nullptr, kTimeout);
   ASSERT_NE(fetched, nullptr);
   EXPECT_EQ(fetched->version(), 7U);
   for (const document::section& entry : SampleSections("lanhai")) {
@@ -87,8 +87,31 @@
 // replacing a copy by one that is not newer.
 TEST_F(document_exchange_test, WrongKeyAndOldVersionGetNothing) {
   Serve(7);
-  EXPECT_EQ(FetchDocument(address_, "other", 0, kTimeout), nullptr);
-  EXPECT_EQ(FetchDocument(address_, kKey, 7, kTimeout), nullptr);
+  EXPECT_EQ(FetchDocument(address_, "other", nullptr, kTimeout), nullptr);
+  EXPECT_EQ(FetchDocument(address_, kKey, source_.Current(), kTimeout), nullptr);
+}
+
+// Guards against sending the whole document, most of which is the fleet, for each small edit.
+TEST_F(document_exchange_test, SectionsThatThePeerHasAreNotSentAgain) {
+  std::vector<document::section> sections = SampleSections("lanhai");
+  for (document::section& entry : sections) {
+    entry.author = "kept";
+  }
+  const auto known = operating_document::Make(6, sections, nullptr);
+  ASSERT_NE(known, nullptr);
+  sections.front().version += 1;
+  for (document::section& entry : sections) {
+    entry.author = "sent";
+  }
+  source_.Offer(time_.Now(), operating_document::Make(7, sections, nullptr));
+  Serve(7);
+  const auto fetched = FetchDocument(address_, kKey, known, kTimeout);
+  ASSERT_NE(fetched, nullptr);
+  EXPECT_EQ(fetched->version(), 7U);
+  for (const document::section& entry : sections) {
+    const bool changed = entry.name == sections.front().name;
+    EXPECT_EQ(fetched->FindSection(entry.name)->author, changed ? "sent" : "kept");
+  }
 }
 
 // Guards against a start that fails while the platform is down although a peer has the document.
@@ -140,7 +163,7 @@
   replica.Offer(time_.Now(), operating_document::Make(9, SampleSections("lanhai"), nullptr));
   syncer.CheckPlatform();
   EXPECT_EQ(replica.Version(), 9U);
-  EXPECT_EQ(counters.Counter("document_head_behind_total").Value(), 1);
+  EXPECT_EQ(counters.Counter("tarragon_document_head_behind_total").Value(), 1);
 }
 
 // Guards against members that do not find each other, or do not learn of a version, over real
--- a/tools/tarragon_members/main.cc
+++ b/tools/tarragon_members/main.cc
@@ -134,7 +134,7 @@
       continue;
     }
     const document::document_ptr fetched = net::FetchDocument(
-        job->hint.document_address, kKey, job->host->Replica().Version(), kFetchTimeout);
+        job->hint.document_address, kKey, job->host->Replica().Current(), kFetchTimeout);
     if (fetched != nullptr) {
       job->host->Replica().Offer(time_.Now(), fetched);
     }
