Notice slow endpoints from short generations and from overtaken reads

The detector got one sample per 16 tokens, none from shorter generations. Slow calls raised the hedge delay to their own latency, and the cancel of an overtaken read hid the latency of the slow endpoint, which stayed in use until the budget was spent: 10% of the reads hedged at 60 to 95 ms for 12 s, then 15% unhedged at 100 to 160 ms. Change: the first window has 4 tokens and starts at the first token; latencies of endpoints twice as slow as their peers do not count for the hedge delay; a read that a later attempt overtakes counts as a failure of its endpoint. Ruled out: recording the time until the cancel as a latency, which is 2 to 3.4 times the median and often below the factor of 3 that ejects. Conclusion: detection by each entry alone costs slow requests on every entry.

--- a/src/decision/attempt_table.h
+++ b/src/decision/attempt_table.h
@@ -42,6 +42,8 @@
   /** Requests of all entries at the endpoint, this one included. */
   std::uint32_t in_flight_at_send = 0;
   std::uint32_t window_tokens = 0;
+  /** Length of the present window; zero before the first token. */
+  std::uint32_t tokens_per_update = 0;
   time_point window_start;
   time_point sent_at;
   time_point next_step;
--- a/src/decision/call_handler.cc
+++ b/src/decision/call_handler.cc
@@ -18,11 +18,23 @@
   OnLateResponse(attempt, event);
   core_.policies.OnFirstAnswer(core_.now, record, attempt);
   core_.policies.OnCompleted(core_.now, record, attempt);
+  NoteOvertaken(record, attempt);
   core_.EndAttempt(record, attempt.id, run_verdict::kRan);
   core_.Emit(deliver_response{record.facts.request, event.status, event.content_type, event.body});
   core_.Finish(record, {.status = event.status});
 }
 
+// The cancel hides how long the overtaken endpoint would have taken. Were nothing noted, a slow
+// endpoint would stay in use for as long as the budget pays for hedges.
+void call_handler::NoteOvertaken(const request_record& record, const attempt_record& winner) {
+  for (const attempt_id id : record.attempts) {
+    const attempt_record* other = core_.attempts.Find(id);
+    if (other != nullptr && other->sent_at < winner.sent_at) {
+      core_.policies.OnFailure(core_.now, record, *other);
+    }
+  }
+}
+
 void call_handler::OnLateResponse(const attempt_record& attempt, const response_received& event) {
   if (!attempt.claim_token.empty()) {
     core_.Emit(complete_claim{attempt.claim_account, attempt.claim_key, attempt.claim_token,
--- a/src/decision/call_handler.h
+++ b/src/decision/call_handler.h
@@ -24,6 +24,9 @@
   void Tick(request_record& record);
 
  private:
+  /** Counts it against an endpoint that a later attempt at another endpoint was faster. */
+  void NoteOvertaken(const request_record& record, const attempt_record& winner);
+
   engine_core& core_;
   dispatcher& queue_;
   retry_handler& retries_;
--- a/src/decision/policy_set.cc
+++ b/src/decision/policy_set.cc
@@ -17,6 +17,11 @@
 constexpr double kMedian = 0.5;
 // Ledger and detector are updated once per this many tokens, which bounds the cost per token.
 constexpr std::uint32_t kTokensPerUpdate = 16;
+// The first update comes earlier, since most short generations end before their 16th token.
+constexpr std::uint32_t kTokensOfFirstUpdate = 4;
+// Latencies of an endpoint this much slower than its peers say nothing of when to hedge: with a
+// twentieth of the calls at slow endpoints, the 95th percentile would be their latency.
+constexpr double kSlowFactor = 2;
 // Levels of demotion inside one class priority, each for four times the tokens of the one before.
 constexpr int kDemotionLevels = 4;
 constexpr std::uint32_t kFirstDemotionTokens = 256;
@@ -283,21 +288,36 @@
   }
   const duration latency = now - attempt.sent_at;
   concurrency_.RecordLatency(attempt.index, latency, attempt.in_flight_at_send);
-  hedges.Record(record.rule.name, latency);
+  policy::outlier_detector& outliers = Of(record.facts.service).outliers;
+  if (outliers.LatencyFactor(attempt.index) < kSlowFactor) {
+    hedges.Record(record.rule.name, latency);
+  }
   if (!record.is_generation()) {
-    Of(record.facts.service)
-        .outliers.RecordLatency(now, attempt.index, policy::latency_kind::kService, latency);
+    outliers.RecordLatency(now, attempt.index, policy::latency_kind::kService, latency);
   }
 }
 
 void policy_set::OnToken(time_point now, const request_record& record, attempt_record& attempt) {
-  if (++attempt.window_tokens < kTokensPerUpdate) {
+  if (attempt.tokens_per_update == 0) {
+    // The wait for the first token is not a time between tokens.
+    attempt.tokens_per_update = kTokensOfFirstUpdate;
+    attempt.window_start = now;
     return;
   }
-  const duration gap = (now - attempt.window_start) / attempt.window_tokens;
+  if (++attempt.window_tokens < attempt.tokens_per_update) {
+    return;
+  }
+  RecordGap(now, record, attempt);
   attempt.window_start = now;
   attempt.window_tokens = 0;
+  attempt.tokens_per_update = kTokensPerUpdate;
   memory_.Adjust(attempt.id, MemoryOf(record, record.cursor.next_index()));
+}
+
+void policy_set::RecordGap(time_point now,
+                           const request_record& record,
+                           const attempt_record& attempt) {
+  const duration gap = (now - attempt.window_start) / attempt.window_tokens;
   Of(record.facts.service)
       .outliers.RecordLatency(now, attempt.index, policy::latency_kind::kBetweenTokens, gap);
 }
@@ -307,6 +327,9 @@
                              const attempt_record& attempt) {
   if (record.is_generation()) {
     lengths_.Record(record.rule.name, record.account, record.cursor.next_index());
+    if (attempt.window_tokens >= kTokensOfFirstUpdate) {
+      RecordGap(now, record, attempt);
+    }
   }
   suspects.RecordCompleted(attempt.content);
   Of(record.facts.service).outliers.RecordSuccess(now, attempt.index);
--- a/src/decision/policy_set.h
+++ b/src/decision/policy_set.h
@@ -79,6 +79,8 @@
   policy::hedge_policy hedges;
 
  private:
+  /** Notes the mean time between the tokens of the attempt's present window. */
+  void RecordGap(time_point now, const request_record& record, const attempt_record& attempt);
   bool Eligible(time_point now,
                 const request_record& record,
                 const service_policies& service,
--- a/tests/decision/request_engine_rules_test.cc
+++ b/tests/decision/request_engine_rules_test.cc
@@ -307,6 +307,77 @@
   }
 }
 
+// Guards against a slow endpoint that is never noticed because each generation there is short.
+TEST(RequestEngineRules, EjectsAnEndpointThatIsSlowWithShortGenerations) {
+  constexpr std::uint32_t kTokens = 8;
+  engine_options options;
+  options.selector = selector_choice::kRoundRobin;
+  options.limit_concurrency = false;
+  engine_driver driver(4, options);
+  int slow = 0;
+  for (int i = 0; i < 200; ++i) {
+    const send_attempt sent = driver.Start(driver.Generation("restart"));
+    const bool is_slow = sent.endpoint == "drafter-0";
+    slow += i >= 100 && is_slow ? 1 : 0;
+    for (std::uint32_t index = 0; index < kTokens; ++index) {
+      driver.Advance(is_slow ? milliseconds(50) : milliseconds(10));
+      driver.Handle(token_received{sent.attempt, sent.generation, index, "t"});
+    }
+    driver.Handle(attempt_finished{sent.attempt, kTokens, "stop"});
+  }
+  // In turn it would get a quarter of 100 generations; ejected it gets probes only.
+  EXPECT_LE(slow, 5);
+}
+
+// Guards against a hedge delay that is raised to the latency of slow endpoints by their own calls.
+TEST(RequestEngineRules, SlowEndpointsDoNotDelayHedges) {
+  engine_options options;
+  options.selector = selector_choice::kRoundRobin;
+  options.eject_outliers = options.limit_concurrency = false;
+  engine_driver driver(4, options);
+  bool hedged_last = false;
+  for (int i = 0; i < 200; ++i) {
+    driver.Handle(request_arrived{driver.Call("")});
+    const auto sent = driver.One<send_attempt>();
+    const bool is_slow = sent.endpoint == "booking-0";
+    driver.Advance(is_slow ? milliseconds(150) : milliseconds(10));
+    const auto hedge = driver.One<send_attempt>();
+    if (is_slow) {
+      hedged_last = hedge.request == sent.request;
+    }
+    driver.Handle(response_received{sent.attempt, 200, "text/plain", "ok"});
+  }
+  // The budget of 5% allows a hedge of some calls only, but 20 slow calls give it time to refill.
+  EXPECT_GT(driver.Counter("tarragon_hedges_total"), 5);
+  EXPECT_TRUE(hedged_last || driver.Counter("tarragon_hedges_total") >= 8);
+}
+
+// Guards against hedges that hide a slow endpoint from the detector and so keep it in use.
+TEST(RequestEngineRules, EjectsAnEndpointThatHedgesOvertake) {
+  constexpr int kEndpoints = 24;
+  constexpr int kCallsOfEach = 30;
+  engine_options options;
+  options.selector = selector_choice::kRoundRobin;
+  options.limit_concurrency = false;
+  engine_driver driver(kEndpoints, options);
+  TrainReads(driver);
+  int slow = 0;
+  for (int i = 0; i < kEndpoints * kCallsOfEach; ++i) {
+    driver.Handle(request_arrived{driver.Call("")});
+    auto sent = driver.One<send_attempt>();
+    driver.Advance(milliseconds(10));
+    if (sent.endpoint == "booking-0") {
+      ++slow;
+      driver.Advance(milliseconds(140));
+      const auto hedges = driver.All<send_attempt>();
+      sent = hedges.empty() ? sent : hedges.front();
+    }
+    driver.Handle(response_received{sent.attempt, 200, "text/plain", "ok"});
+  }
+  // In turn it would get 30 calls; ejected it gets probes only.
+  EXPECT_LE(slow, 10);
+}
+
 // Guards against late, crossed and repeated events that change the state of another request.
 TEST(RequestEngineRules, IgnoresAndCountsEventsForUnknownAttempts) {
   engine_driver driver(1);
