Judge a long probe by its first tokens

Cause: an ejected endpoint is probed with one request, and the probe counts as failed after 5 s. A healthy generation of 500 tokens takes longer, so that an endpoint of a service with only long work was never brought back. Ruled out: a longer timeout, since reports run for minutes. Before and after: the new test fails without the change. Not measured under load.

--- a/src/decision/policy_set.cc
+++ b/src/decision/policy_set.cc
@@ -318,8 +318,12 @@
                            const request_record& record,
                            const attempt_record& attempt) {
   const duration gap = (now - attempt.window_start) / attempt.window_tokens;
-  Of(record.facts.service)
-      .outliers.RecordLatency(now, attempt.index, policy::latency_kind::kBetweenTokens, gap);
+  policy::outlier_detector& outliers = Of(record.facts.service).outliers;
+  outliers.RecordLatency(now, attempt.index, policy::latency_kind::kBetweenTokens, gap);
+  if (outliers.Health(attempt.index) == policy::endpoint_health::kHalfOpen) {
+    // A probe that is a long generation would time out before its end.
+    outliers.RecordSuccess(now, attempt.index);
+  }
 }
 
 void policy_set::OnCompleted(time_point now,
--- a/tests/decision/request_engine_rules_test.cc
+++ b/tests/decision/request_engine_rules_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <optional>
+
 #include "decision/engine_driver.h"
 #include "tarragon/base/hash.h"
 
@@ -374,10 +376,51 @@
     }
     driver.Handle(response_received{sent.attempt, 200, "text/plain", "ok"});
   }
-  // In turn it would get 30 calls; ejected it gets probes only.
+  // In turn it would get 30 calls or more; ejected it gets probes only.
   EXPECT_LE(slow, 10);
 }
 
+// Guards against an endpoint that stays ejected because each probe is longer than the timeout.
+TEST(RequestEngineRules, JudgesALongProbeBeforeItsEnd) {
+  constexpr int kEndpoints = 4;
+  engine_options options;
+  options.selector = selector_choice::kRoundRobin;
+  options.limit_concurrency = options.memory_admission = false;
+  engine_driver driver(kEndpoints, options);
+  const auto stream = [&driver](const send_attempt& sent, std::uint32_t tokens, milliseconds gap) {
+    for (std::uint32_t index = 0; index < tokens; ++index) {
+      driver.Advance(gap);
+      driver.Handle(token_received{sent.attempt, sent.generation, index, "t"});
+    }
+  };
+  const auto finish = [&](const send_attempt& sent, milliseconds gap) {
+    stream(sent, 20, gap);
+    driver.Handle(attempt_finished{sent.attempt, 20, "stop"});
+  };
+  for (int i = 0; i < 100; ++i) {
+    const send_attempt sent = driver.Start(driver.Generation("restart"));
+    finish(sent, milliseconds(sent.endpoint == "drafter-0" ? 50 : 10));
+  }
+  // Longer than any ejection.
+  driver.Advance(seconds(40));
+  std::optional<send_attempt> probe;
+  for (int i = 0; i < kEndpoints && !probe; ++i) {
+    const send_attempt sent = driver.Start(driver.Generation("restart"));
+    if (sent.endpoint == "drafter-0") {
+      probe = sent;
+    } else {
+      finish(sent, milliseconds(10));
+    }
+  }
+  ASSERT_TRUE(probe.has_value());
+  stream(*probe, 600, milliseconds(10));
+  bool used = false;
+  for (int i = 0; i < kEndpoints; ++i) {
+    used = driver.Start(driver.Generation("restart")).endpoint == "drafter-0" || used;
+  }
+  EXPECT_TRUE(used);
+}
+
 // Guards against late, crossed and repeated events that change the state of another request.
 TEST(RequestEngineRules, IgnoresAndCountsEventsForUnknownAttempts) {
   engine_driver driver(1);
--- a/tools/tarragon_load/mixed_mode.cc
+++ b/tools/tarragon_load/mixed_mode.cc
@@ -168,6 +168,7 @@
 
 nlohmann::json StartDelay(const std::vector<call_result>& results) {
   std::vector<offset> delays;
+  delays.reserve(results.size());
   for (const call_result& result : results) {
     delays.push_back(result.start_delay);
   }
