--- a/tools/measure_table.py
+++ b/tools/measure_table.py
@@ -71,6 +71,7 @@
 
     return [
         ("lost or wrong", over(lambda r: total(r, phase, "lost") + total(r, phase, "wrong"))),
+        ("left open at the end of the run", over(lambda r: total(r, phase, "abandoned"))),
         ("may-have-run", over(lambda r: total(r, phase, "may_have_run"))),
         ("not-run", over(lambda r: total(r, phase, "not_run"))),
         ("not-run that a stand-in ran", over(lambda r: r["audit"]["false_not_run"])),
@@ -168,9 +169,13 @@
             "p99 refusal of handovers at the peak, ms",
             over(lambda r: quantile(r, "peak", "long", "refusal_ms")),
         ),
+        (
+            "handovers whole but late at the peak",
+            over(lambda r: kind(r, "peak", "long").get("late", 0)),
+        ),
         ("p99 first token of urgent, before, ms", over(lambda r: quantile(r, "before", "short", "first_ms"))),
         ("p99 first token of urgent, peak, ms", over(lambda r: quantile(r, "peak", "short", "first_ms"))),
-        ("p99 first token of urgent, 3 s after the peak, ms", over(lambda r: quantile(r, "after", "short", "first_ms"))),
+        ("p99 first token of urgent, from 3 s after the peak, ms", over(lambda r: quantile(r, "after", "short", "first_ms"))),
         ("p99 of handovers, before, ms", over(lambda r: quantile(r, "before", "long", "whole_ms"))),
         ("p99 of handovers, 3 s after the peak, ms", over(lambda r: quantile(r, "after", "long", "whole_ms"))),
         ("not answered in full 3 s after the peak", over(lambda r: total(r, "after", "not_run") + total(r, "after", "may_have_run"))),
--- a/tools/tarragon_load/load_report.cc
+++ b/tools/tarragon_load/load_report.cc
@@ -136,9 +136,9 @@
 
 std::string MakeTable(const nlohmann::json& report) {
   std::string table = fmt::format(
-      "{:10} {:6} {:>6} {:>6} {:>7} {:>5} {:>5} {:>5} {:>5} {:>17} {:>15} {:>17} {:>13}\n", "phase",
-      "kind", "sent", "ok", "not_run", "may", "lost", "wrong", "late", "first p50/p99",
-      "gap p50/p99", "whole p50/p99", "refusal");
+      "{:10} {:6} {:>6} {:>6} {:>7} {:>5} {:>5} {:>5} {:>5} {:>5} {:>17} {:>15} {:>17} {:>13}\n",
+      "phase", "kind", "sent", "ok", "not_run", "may", "lost", "wrong", "left", "late",
+      "first p50/p99", "gap p50/p99", "whole p50/p99", "refusal");
   for (const auto& [phase, part] : report.items()) {
     if (!part.contains("kinds")) {
       continue;
@@ -146,11 +146,12 @@
     for (const auto& [kind, one] : part["kinds"].items()) {
       const auto& ends = one["outcomes"];
       table += fmt::format(
-          "{:10} {:6} {:>6} {:>6} {:>7} {:>5} {:>5} {:>5} {:>5} {:>17} {:>15} {:>17} {:>13}\n",
+          "{:10} {:6} {:>6} {:>6} {:>7} {:>5} {:>5} {:>5} {:>5} {:>5} {:>17} {:>15} {:>17} "
+          "{:>13}\n",
           phase, kind, one["sent"].get<int>(), ends.value("ok", 0), ends.value("not_run", 0),
           ends.value("may_have_run", 0), ends.value("lost", 0), ends.value("wrong", 0),
-          one["late"].get<int>(), Pair(one["first_ms"]), Pair(one["gap_ms"]), Pair(one["whole_ms"]),
-          Pair(one["refusal_ms"]));
+          ends.value("abandoned", 0), one["late"].get<int>(), Pair(one["first_ms"]),
+          Pair(one["gap_ms"]), Pair(one["whole_ms"]), Pair(one["refusal_ms"]));
     }
     table += fmt::format("{:10} goodput {} tokens/s, {} answers/s\n", phase,
                          part["goodput"]["tokens_per_s"].get<double>(),
