Add a first open-loop load generator and the experiments

Cause: no tool sends mixed work at scheduled times and checks each answer. Ruled out: a closed loop, which hides the delay of a stalled system. Before: none. After: a first version, not measured yet.

--- a/tests/fakes/fake_endpoint/engine.cc
+++ b/tests/fakes/fake_endpoint/engine.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "fakes/fake_endpoint/output_length.h"
+#include "tarragon/base/hash.h"
 #include "tarragon/base/log.h"
 
 namespace tarragon::fakes {
@@ -99,6 +100,7 @@
         nullptr};
   }
   ++accepted_;
+  prompts_.emplace(request.id, fmt::format("{:016x}", Hash64(request.prompt)));
   if (bound < wanted) {
     bounded_.insert(request.id);
   }
@@ -161,6 +163,7 @@
   std::lock_guard lock(mutex_);
   const scheduler_state state = scheduler_.State();
   return {{"generations", std::move(generations)},
+          {"prompts", prompts_},
           {"accepted", accepted_},
           {"declined", declined_},
           {"duplicates", duplicates_},
--- a/tests/fakes/fake_endpoint/engine.h
+++ b/tests/fakes/fake_endpoint/engine.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -111,6 +112,8 @@
   std::set<generation_id> bounded_;
   // Requests that end the process with their first token.
   std::set<generation_id> lethal_;
+  // Hash of the prompt of each accepted request.
+  std::map<generation_id, std::string> prompts_;
   std::uint64_t accepted_ = 0;
   std::uint64_t declined_ = 0;
   std::uint64_t duplicates_ = 0;
--- a/tools/run_stack.sh
+++ b/tools/run_stack.sh
@@ -1,10 +1,17 @@
 #!/usr/bin/env bash
-# Starts a stack of stand-ins on loopback for local use. Each process writes <folder>/<name>.log and
-# has its id in <folder>/<name>.pid; tools/stop_stack.sh ends them.
+# Starts a stack of stand-ins and entries on loopback for local use. Each process writes
+# <folder>/<name>.log, has its id in <folder>/<name>.pid and its command line in <folder>/<name>.cmd;
+# tools/stop_stack.sh ends them.
 # usage: [BASE_PORT=21000] run_stack.sh <build> <folder> [entries] [engines] [plain]
-#   e.g. tools/run_stack.sh build /tmp/stack 0 3 1
-# Ports: platform BASE_PORT, engines from BASE_PORT+100, plain services from BASE_PORT+200.
+#   e.g. tools/run_stack.sh build /tmp/stack 8 12 3
+# Ports: platform BASE_PORT, engines from BASE_PORT+100, plain services from BASE_PORT+200, entries
+# from BASE_PORT+300 for callers and BASE_PORT+400 for each other.
 # Flags for all engines or plain services: ENGINE_FLAGS, PLAIN_FLAGS. For the platform: PLATFORM_FLAGS.
+# DOCUMENT: directory of the operating document (default examples/document/lanhai); the fleet section
+# is replaced by the stand-ins. ACCOUNT_RATE replaces requests_per_second of all accounts.
+# LINK_MS: link delay one way of all stand-ins.
+# POLICY: two_choice (default), or round_robin or least_reported_load, which also switch off the
+# queue, admission, limits, ejection, isolation and hedging. POLICY_LINES: further lines for [policy].
 set -euo pipefail
 if [ $# -lt 2 ]; then
   sed -n 's/^# \(usage\|  e.g\)/\1/p' "$0" >&2
@@ -12,34 +19,46 @@
 fi
 build=$1 folder=$2 entries=${3:-0} engines=${4:-12} plain=${5:-3}
 base=${BASE_PORT:-21000}
-domains=(fd-a fd-b fd-c)
+document=${DOCUMENT:-$(dirname "$0")/../examples/document/lanhai}
+policy=${POLICY:-two_choice}
 platform=127.0.0.1:$base
+link=(--link_delay_ms "${LINK_MS:-0}")
 
-if [ "$entries" -gt 0 ]; then
-  echo "run_stack.sh: entries are not started by this version; pass 0" >&2
-  exit 2
-fi
 mkdir -p "$folder"
 if compgen -G "$folder/*.pid" >/dev/null; then
   echo "run_stack.sh: $folder already holds a stack; run tools/stop_stack.sh $folder first" >&2
   exit 1
 fi
 
+# first_of <kind> <key>: the value of a key in the first service of a kind.
+first_of() {
+  awk -v kind="\"$1\"" -v key="$2" '
+    /^\[\[/ { delete item } { gsub(/ /, ""); n = index($0, "="); k = substr($0, 1, n - 1)
+      item[k] = substr($0, n + 1)
+      if (item["kind"] == kind && (key in item)) { gsub(/"/, "", item[key]); print item[key]; exit } }
+  ' "$document/services.toml"
+}
+model_service=$(first_of model name) plain_service=$(first_of plain name)
+model=$(first_of model model)
+version=$(sed -n 's/^version = "\(.*\)"/\1/p' "$document/models.toml" | head -1)
+mapfile -t domains < <(sed -n 's/^failure_domain = "\(.*\)"/\1/p' "$document/fleet.toml" | sort -u)
+
 # start <name> <program> <flags...>
 start() {
   local name=$1 program=$2
   shift 2
+  printf '%q ' "$build/bin/$program" "$@" >"$folder/$name.cmd"
   "$build/bin/$program" "$@" </dev/null >"$folder/$name.log" 2>&1 &
   echo $! >"$folder/$name.pid"
 }
 
 # wait_ready <url>
 wait_ready() {
-  for _ in $(seq 100); do
+  for _ in $(seq 200); do
     curl -sf -o /dev/null "$1" && return 0
     sleep 0.05
   done
-  echo "run_stack.sh: no answer from $1 within 5 s" >&2
+  echo "run_stack.sh: no answer from $1 within 10 s" >&2
   return 1
 }
 
@@ -49,15 +68,73 @@
     -d "{\"address\":\"$2\",\"failure_domain\":\"$3\",\"state\":\"live\"}"
 }
 
+# list_endpoint <name> <address> <service> <failure domain>
+list_endpoint() {
+  printf '[[endpoint]]\nname = "%s"\naddress = "%s"\nservice = "%s"\nfailure_domain = "%s"\n\n' "$@" \
+    >>"$folder/document/fleet.toml"
+}
+
+write_document() {
+  mkdir -p "$folder/document"
+  cp "$document"/*.toml "$folder/document/"
+  # The steps of the drill name endpoints of the sample fleet.
+  : >"$folder/document/drill.toml"
+  : >"$folder/document/fleet.toml"
+  if [ -n "${ACCOUNT_RATE:-}" ]; then
+    sed -i "s/^requests_per_second = .*/requests_per_second = $ACCOUNT_RATE/" \
+      "$folder/document/accounts.toml"
+  fi
+  for ((i = 0; i < engines; i++)); do
+    list_endpoint "engine-$i" "127.0.0.1:$((base + 100 + i))" "$model_service" "${domains[i % 3]}"
+  done
+  for ((i = 0; i < plain; i++)); do
+    list_endpoint "plain-$i" "127.0.0.1:$((base + 200 + i))" "$plain_service" "${domains[i % 3]}"
+  done
+  for ((i = 0; i < entries; i++)); do
+    printf '[[vm]]\nname = "entry-%d"\n\n' "$i" >>"$folder/document/fleet.toml"
+  done
+}
+
+# write_settings <index>
+write_settings() {
+  local switches=""
+  if [ "$policy" != two_choice ]; then
+    for name in fair_queue memory_admission eject_outliers isolate_suspects hedge_reads \
+      limit_concurrency limit_accounts; do
+      switches+="$name = false"$'\n'
+    done
+  fi
+  cat >"$folder/entry-$1.toml" <<T
+[vm]
+name = "entry-$1"
+failure_domain = "${domains[$1 % 3]}"
+[listen]
+callers = "127.0.0.1:$((base + 300 + $1))"
+peer = "127.0.0.1:$((base + 400 + $1))"
+[peers]
+seeds = ["127.0.0.1:$((base + 400))", "127.0.0.1:$((base + 401))"]
+[platform]
+address = "$platform"
+[document]
+directory = "$folder/document"
+[tickets]
+key = "0123456789abcdef0123456789abcdef"
+[policy]
+selector = "$policy"
+$switches${POLICY_LINES:-}
+T
+}
+
 start platform fake_platform --listen "$platform" ${PLATFORM_FLAGS:-}
 wait_ready "http://$platform/stats"
 for ((i = 0; i < engines; i++)); do
   start "engine-$i" fake_endpoint --listen "127.0.0.1:$((base + 100 + i))" --name "engine-$i" \
-    --seed $((i + 1)) --weights_url "http://$platform" ${ENGINE_FLAGS:-}
+    --seed $((i + 1)) --weights_url "http://$platform" --model "$model" --model_version "$version" \
+    "${link[@]}" ${ENGINE_FLAGS:-}
 done
 for ((i = 0; i < plain; i++)); do
   start "plain-$i" fake_endpoint --listen "127.0.0.1:$((base + 200 + i))" --name "plain-$i" \
-    --kind plain --seed $((i + 1)) ${PLAIN_FLAGS:-}
+    --kind plain --seed $((i + 1)) "${link[@]}" ${PLAIN_FLAGS:-}
 done
 for ((i = 0; i < engines; i++)); do
   wait_ready "http://127.0.0.1:$((base + 100 + i))/load"
@@ -67,4 +144,15 @@
   wait_ready "http://127.0.0.1:$((base + 200 + i))/load"
   list_vm "plain-$i" "127.0.0.1:$((base + 200 + i))" "${domains[i % 3]}"
 done
-echo "platform=$platform engines=$engines plain=$plain folder=$folder"
+if [ "$entries" -gt 0 ]; then
+  write_document
+fi
+for ((i = 0; i < entries; i++)); do
+  write_settings "$i"
+  start "entry-$i" tarragon-entry --settings "$folder/entry-$i.toml"
+done
+for ((i = 0; i < entries; i++)); do
+  wait_ready "http://127.0.0.1:$((base + 300 + i))/readyz"
+  list_vm "entry-$i" "127.0.0.1:$((base + 300 + i))" "${domains[i % 3]}"
+done
+echo "platform=$platform engines=$engines plain=$plain entries=$entries policy=$policy folder=$folder"
--- a/tools/tarragon_load/main.cc
+++ b/tools/tarragon_load/main.cc
@@ -8,8 +8,9 @@
 #include <string_view>
 
 #include "latency_mode.h"
+#include "mixed_mode.h"
 
-DEFINE_string(mode, "latency", "experiment to run: latency");
+DEFINE_string(mode, "latency", "experiment to run: latency or mixed");
 DEFINE_string(entry, "127.0.0.1:21900", "ip:port of the entry");
 DEFINE_string(endpoints, "127.0.0.1:21901", "ip:port of each endpoint, separated by commas");
 DEFINE_string(token, "smoke-token", "bearer token of the account");
@@ -64,6 +65,9 @@
   if (FLAGS_mode == "latency") {
     return Latency();
   }
+  if (FLAGS_mode == "mixed") {
+    return tarragon::load::RunMixed();
+  }
   fmt::print(stderr, "unknown --mode '{}'\n", FLAGS_mode);
   return kExitUsage;
 }
