--- a/tools/tarragon_load/mixed_mode.cc
+++ b/tools/tarragon_load/mixed_mode.cc
@@ -46,6 +46,7 @@
 DEFINE_double(long_deadline, 300, "mixed: as read_deadline, for long generations");
 DEFINE_double(tail, 60, "mixed: seconds after which streams still open are left");
 DEFINE_string(pids, "", "mixed: folder with the ids of the processes whose CPU time is reported");
+DEFINE_string(raw, "", "mixed: file for one line per request");
 DEFINE_string(json, "", "mixed: file for the report");
 
 namespace tarragon::load {
@@ -179,6 +180,21 @@
                                          {"max", ms(delays.back())}};
 }
 
+/** Columns: number, kind, entry, due, first token, whole, largest gap (ms), outcome, resumes. */
+void WriteRaw(const std::vector<call_result>& results, const std::string& name) {
+  std::ofstream file(name);
+  const auto ms = [](offset time) {
+    return std::chrono::duration<double, std::milli>(time).count();
+  };
+  for (const call_result& one : results) {
+    const offset gap = one.gaps.empty() ? offset(0) : *std::ranges::max_element(one.gaps);
+    file << fmt::format("{},{},{},{:.1f},{:.1f},{:.1f},{:.1f},{},{}\n", one.request.number,
+                        ToString(one.request.kind), one.request.entry, ms(one.request.due),
+                        ms(one.first_token.value_or(offset(0))), ms(one.whole), ms(gap),
+                        ToString(one.end), one.resumes);
+  }
+}
+
 }  // namespace
 
 int RunMixed() {
@@ -207,6 +223,9 @@
                                 {"cpu", run.cpu},
                                 {"audit", ToJson(audit)},
                                 {"phases", report}};
+  if (!FLAGS_raw.empty()) {
+    WriteRaw(run.results, FLAGS_raw);
+  }
   if (!FLAGS_json.empty()) {
     std::ofstream(FLAGS_json) << whole.dump(1) << '\n';
   }
--- a/tools/tarragon_load/stand_in_audit.cc
+++ b/tools/tarragon_load/stand_in_audit.cc
@@ -24,7 +24,7 @@
 
 /** Adds what one stand-in ran: generations by the hash of the prompt, calls by their path. */
 void AddStats(const nlohmann::json& stats, run_counts& counts, audit_result& audit) {
-  for (const auto& [id, hash] : stats.value("prompts", nlohmann::json::object()).items()) {
+  for (const auto& hash : stats.value("prompts", nlohmann::json::object())) {
     counts[hash.get<std::string>()] += 1;
   }
   for (const auto& item : stats.value("executions", nlohmann::json::array())) {
