Test entries as separate processes

Cause: no test ran entries, stand-ins and callers as processes, so that the promises at a process's death or shutdown were shown only inside one process. Calls are told apart by their path, since the entry does not pass the Idempotency-Key on.

--- /dev/null
+++ b/tests/process/graceful_shutdown_test.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Guards against requests that are cut or refused wrongly when an entry is told to end under load.
+# usage: <script> <build> <base port>. Fails with SHUTDOWN_SIGNAL=KILL.
+source "$(dirname "$0")/lib.sh" "$@"
+streams=24 length=150
+start_platform
+start_engine 0 --slots 16
+start_engine 1 --slots 16
+start_plain 0 --service_ms 1500 --slots 32
+write_document 2 1 1
+ENTRY_DOCUMENT=$work/document
+start_entry 0
+eventually "entry 0 is ready" is_ready "$(entry_address 0)"
+callers=()
+for ((i = 0; i < streams; i++)); do
+  call "stream-$i" "$length" 0 & callers+=($!)
+done
+for ((i = 0; i < 8; i++)); do
+  curl -s --max-time 20 -o /dev/null -w '%{http_code} %header{run-verdict}' -X POST \
+    "http://$(entry_address 0)/services/booking/confirm/$i" -H "Authorization: Bearer $caller_token" \
+    -H "Idempotency-Key: confirm-$i" -d x >"$work/confirm.$i" & callers+=($!)
+done
+eventually "each stream has tokens" eval 'for ((i = 0; i < streams; i++)); do has_tokens stream-$i 2; done'
+eventually "the calls run" eval 'for ((i = 0; i < 8; i++)); do [ "$(executions 1 /confirm/$i)" -eq 1 ]; done'
+send "${SHUTDOWN_SIGNAL:-TERM}" entry-0
+late=$(curl -s --max-time 10 -o /dev/null -w '%{http_code} %header{run-verdict}' -X POST \
+  "http://$(entry_address 0)/v1/completions" -H "Authorization: Bearer $caller_token" \
+  -d '{"model":"drafter","prompt":"late [len=2]"}' || true)
+exit_status entry-0
+for pid in "${callers[@]}"; do
+  # Callers that were cut would look for the entry until they give up.
+  [ "$exited" -eq 0 ] && wait "$pid" || kill "$pid" 2>/dev/null || true
+done
+for ((i = 0; i < streams; i++)); do
+  check_answer "stream-$i" "$length"
+  [ ! -e "$work/stream-$i.part.01" ] || fail "stream-$i was cut"
+done
+for ((i = 0; i < 8; i++)); do
+  [ "$(cat "$work/confirm.$i")" = "200 ran" ] || fail "call $i was answered $(cat "$work/confirm.$i")"
+done
+case "$late" in
+  "503 not-run" | "000 ") ;;
+  *) fail "a request during the shutdown was answered '$late'" ;;
+esac
+[ "$exited" -eq 0 ] || fail "the entry exited with $exited"
+echo "$streams streams and 8 calls ended whole; a request after the signal got '$late'; exit status 0"
