--- a/tools/run_stack.sh
+++ b/tools/run_stack.sh
@@ -2,10 +2,14 @@
 # Starts a stack of stand-ins and entries on loopback for local use. Each process writes
 # <folder>/<name>.log, has its id in <folder>/<name>.pid and its command line in <folder>/<name>.cmd;
 # tools/stop_stack.sh ends them.
-# usage: [BASE_PORT=21000] run_stack.sh <build> <folder> [entries] [engines] [plain]
-#   e.g. tools/run_stack.sh build /tmp/stack 8 12 3
+# usage: [BASE_PORT=21000] run_stack.sh <build> <folder> [entries] [engines] [plain] [controls]
+#   e.g. tools/run_stack.sh build /tmp/stack 8 12 3 2
 # Ports: platform BASE_PORT, engines from BASE_PORT+100, plain services from BASE_PORT+200, entries
-# from BASE_PORT+300 for callers and BASE_PORT+400 for each other.
+# from BASE_PORT+300 for callers and BASE_PORT+400 for each other, controls from BASE_PORT+500.
+# Operators use the token `ops-token` of the team ops, which owns all sections.
+# DOCUMENT_SOURCE: directory (default), or platform: entries start without a document and become
+# ready after `tarragonctl init <folder>/document`, which is then the caller's job.
+# LEASE_TERM_MS (default 6000): term of the controls' lease; it is renewed three times in a term.
 # Flags for all engines or plain services: ENGINE_FLAGS, PLAIN_FLAGS. For the platform: PLATFORM_FLAGS.
 # DOCUMENT: directory of the operating document (default examples/document/lanhai); the fleet section
 # is replaced by the stand-ins. ACCOUNT_RATE replaces requests_per_second of all accounts.
@@ -17,7 +21,7 @@
   sed -n 's/^# \(usage\|  e.g\)/\1/p' "$0" >&2
   exit 2
 fi
-build=$1 folder=$2 entries=${3:-0} engines=${4:-12} plain=${5:-3}
+build=$1 folder=$2 entries=${3:-0} engines=${4:-12} plain=${5:-3} controls=${6:-0}
 base=${BASE_PORT:-21000}
 document=${DOCUMENT:-$(dirname "$0")/../examples/document/lanhai}
 policy=${POLICY:-two_choice}
@@ -97,7 +101,10 @@
 
 # write_settings <index>
 write_settings() {
-  local switches=""
+  local switches="" document_lines=""
+  if [ "${DOCUMENT_SOURCE:-directory}" = directory ]; then
+    document_lines=$(printf '[document]\ndirectory = "%s"' "$folder/document")
+  fi
   if [ "$policy" != two_choice ]; then
     for name in fair_queue memory_admission eject_outliers isolate_suspects hedge_reads \
       limit_concurrency limit_accounts; do
@@ -115,16 +122,34 @@
 seeds = ["127.0.0.1:$((base + 400))", "127.0.0.1:$((base + 401))"]
 [platform]
 address = "$platform"
-[document]
-directory = "$folder/document"
+$document_lines
 [tickets]
 key = "0123456789abcdef0123456789abcdef"
+[teams.ops]
+token_sha256 = "$(printf ops-token | sha256sum | cut -d' ' -f1)"
+sections = ["models", "accounts", "classes", "services", "fleet", "drill"]
 [policy]
 selector = "$policy"
 $switches${POLICY_LINES:-}
 T
 }
 
+# write_control_settings <index>
+write_control_settings() {
+  local term=${LEASE_TERM_MS:-6000}
+  cat >"$folder/control-$1.toml" <<T
+[vm]
+name = "entry-$1"
+[listen]
+health = "127.0.0.1:$((base + 500 + $1))"
+[platform]
+address = "$platform"
+[lease]
+term_ms = $term
+renew_interval_ms = $((term / 3))
+T
+}
+
 start platform fake_platform --listen "$platform" ${PLATFORM_FLAGS:-}
 wait_ready "http://$platform/stats"
 for ((i = 0; i < engines; i++)); do
@@ -152,7 +177,18 @@
   start "entry-$i" tarragon-entry --settings "$folder/entry-$i.toml"
 done
 for ((i = 0; i < entries; i++)); do
-  wait_ready "http://127.0.0.1:$((base + 300 + i))/readyz"
+  if [ "${DOCUMENT_SOURCE:-directory}" = directory ]; then
+    wait_ready "http://127.0.0.1:$((base + 300 + i))/readyz"
+  else
+    wait_ready "http://127.0.0.1:$((base + 300 + i))/healthz"
+  fi
   list_vm "entry-$i" "127.0.0.1:$((base + 300 + i))" "${domains[i % 3]}"
 done
-echo "platform=$platform engines=$engines plain=$plain entries=$entries policy=$policy folder=$folder"
+for ((i = 0; i < controls; i++)); do
+  write_control_settings "$i"
+  start "control-$i" tarragon-control --settings "$folder/control-$i.toml"
+done
+for ((i = 0; i < controls; i++)); do
+  wait_ready "http://127.0.0.1:$((base + 500 + i))/healthz"
+done
+echo "platform=$platform engines=$engines plain=$plain entries=$entries controls=$controls policy=$policy folder=$folder"
