Recognize one's own first version of the document

Cause: when the answer to the first version was lost, tarragonctl repeated the call and got a conflict, so that it told the operator that somebody else had written the document. Change: the sections carry the call's edit id, and a conflict or an unknown outcome is resolved by reading it back. A row under document/edits was ruled out: the first version needs no history.

--- a/include/tarragon/platform/document_service.h
+++ b/include/tarragon/platform/document_service.h
@@ -104,7 +104,10 @@
   /** @return the rows that the holder of the lease keeps on each model's rollout. */
   store_result<std::vector<row>> ReadRollouts();
 
-  /** Writes the first version of the whole document, if there is none yet. */
+  /**
+   * Writes the first version of the whole document, if there is none yet. All sections carry the same
+   * unique edit id, by which a repeated call finds its own earlier writes.
+   */
   edit_outcome Initialize(std::vector<document::section> sections);
 
   edit_outcome Edit(const section_edit& edit);
--- a/src/net/admin_api.cc
+++ b/src/net/admin_api.cc
@@ -261,6 +261,7 @@
     }
     document::section first;
     first.name = name;
+    first.edit_id = HeaderOr(request, "Edit-Id");
     first.text = text.get<std::string>();
     sections.push_back(std::move(first));
   }
--- a/src/platform/document_service.cc
+++ b/src/platform/document_service.cc
@@ -264,6 +264,7 @@
   }
   writes.writes.push_back({kHeadKey, Encode(head)});
   edit_outcome outcome;
+  const std::string edit_id = sections.empty() ? std::string() : sections.front().edit_id;
   outcome.document = operating_document::Make(1, std::move(sections), &outcome.errors);
   if (outcome.document == nullptr) {
     outcome.status = edit_status::kInvalid;
@@ -275,11 +276,24 @@
     outcome.section_version = outcome.document_version = 1;
     return outcome;
   }
-  if (committed.error() == store_error::kConflict) {
+  if (committed.error() != store_error::kConflict && !IsOutcomeUnknown(committed.error())) {
+    return Failed(edit_status::kUnavailable);
+  }
+  // The rows may come from this call or from an earlier one whose answer was lost.
+  const auto present = LoadRows();
+  if (present.has_error()) {
+    return Failed(edit_status::kUnknown);
+  }
+  const bool own = !edit_id.empty() &&
+                   std::ranges::any_of(present.value().sections, [&edit_id](const section& entry) {
+                     return entry.version == 1 && entry.edit_id == edit_id;
+                   });
+  if (!own) {
     return Failed(edit_status::kConflict);
   }
-  return Failed(IsOutcomeUnknown(committed.error()) ? edit_status::kUnknown
-                                                    : edit_status::kUnavailable);
+  outcome.status = edit_status::kAccepted;
+  outcome.section_version = outcome.document_version = 1;
+  return outcome;
 }
 
 /** The document after an edit and the transaction that makes it so. */
--- a/tests/platform/document_service_test.cc
+++ b/tests/platform/document_service_test.cc
@@ -65,6 +65,27 @@
   document_service service;
 };
 
+// Guards against telling an operator that somebody else wrote the first version of the document when
+// the answer to the operator's own call was lost.
+TEST(DocumentService, RepeatedInitializationFindsItsOwnWrites) {
+  fake_platform_store store;
+  document_service service(store, Options(), NoSleep);
+  std::vector<document::section> sections = SampleSections("lanhai");
+  std::ranges::for_each(sections, [](document::section& entry) { entry.edit_id = "first"; });
+  store.SetScript([](store_call call) {
+    return call == store_call::kCommit ? store_fault::kLostAnswer : store_fault::kNone;
+  });
+  EXPECT_EQ(service.Initialize(sections).status, edit_status::kAccepted);
+  store.SetScript([](store_call call) {
+    return call == store_call::kCommit ? store_fault::kNone : store_fault::kOutage;
+  });
+  EXPECT_EQ(service.Initialize(sections).status, edit_status::kUnknown);
+  store.SetScript(nullptr);
+  EXPECT_EQ(service.Initialize(sections).status, edit_status::kAccepted);
+  std::ranges::for_each(sections, [](document::section& entry) { entry.edit_id = "second"; });
+  EXPECT_EQ(service.Initialize(sections).status, edit_status::kConflict);
+}
+
 // Guards against an editor of one section losing to an editor of another section.
 TEST(DocumentService, EditorsOfDifferentSectionsBothSucceed) {
   document_service_fixture fixture;
--- a/tests/process/lost_answers_test.sh
+++ b/tests/process/lost_answers_test.sh
@@ -8,7 +8,9 @@
 start_entry 0
 start_entry 1
 eventually "entry 0 answers" get "http://$(entry_address 0)/healthz"
-ctl init "$work/document" --wait || fail "init exited with $?"
+fault "$platform" '{"kind":"lose_answers","share":1}'
+ctl init "$work/document" >"$work/init.out" 2>&1 || fail "init exited with $? after a lost answer: $(cat "$work/init.out")"
+fault "$platform" '{"kind":"none"}'
 # versions: the section's and the document's version, from the table itself.
 section_version() { get "http://$platform/table/document/sections/models" | sed -n 's/.*\\"version\\":\([0-9]*\).*/\1/p'; }
 head_version() { get "http://$platform/table/document/head" | sed -n 's/.*\\"version\\":\([0-9]*\).*/\1/p'; }
