--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -59,9 +59,11 @@
 callers=()
 for ((i = 0; i < 6; i++)); do call "busy-$i" 250 0 1 2 & callers+=($!); done
 eventually "each of them has tokens" eval 'for ((i = 0; i < 6; i++)); do has_tokens busy-$i 2; done'
-kill_now engine-0
+# The engine with the most streams, so that some of them are lost with it.
+victim=$(for n in "${serving[@]}"; do echo "$(engine_field "$n" running) $n"; done | sort -rn | head -n 1 | cut -d' ' -f2)
+kill_now "engine-$victim"
 kill_now entry-0
-echo "  engine-0 and entry-0 are dead; the callers return to the other entries with their tickets"
+echo "  engine-$victim and entry-0 are dead; the callers return to the other entries with their tickets"
 wait "$report" "${callers[@]}" || true
 check_answer report "$long"
 whole=0 returned=0 restarted=0
--- a/tools/run_stack.sh
+++ b/tools/run_stack.sh
@@ -182,7 +182,7 @@
   else
     wait_ready "http://127.0.0.1:$((base + 300 + i))/healthz"
   fi
-  list_vm "entry-$i" "127.0.0.1:$((base + 300 + i))" "${domains[i % 3]}"
+  list_vm "entry-$i" "127.0.0.1:$((base + 400 + i))" "${domains[i % 3]}"
 done
 for ((i = 0; i < controls; i++)); do
   write_control_settings "$i"
--- a/tools/tarragonctl/section_commands.cc
+++ b/tools/tarragonctl/section_commands.cc
@@ -67,6 +67,8 @@
     fmt::print("section {} is at version {}, document {}\n", body.value("section", ""),
                body.value("version", std::uint64_t{0}), document_version);
   }
+  // The wait reports its progress on the error stream, which is not buffered.
+  std::fflush(stdout);
   return context.wait ? WaitInForce(context, document_version) : kExitOk;
 }
 
@@ -253,6 +255,7 @@
   const json body = json::parse(answer.body, nullptr, false);
   const auto version = body.value("document_version", std::uint64_t{0});
   fmt::print("the document is at version {}\n", version);
+  std::fflush(stdout);
   return context.wait ? WaitInForce(context, version) : kExitOk;
 }
 
