Repair the list of sections and name authors and rollout states

Cause: tarragonctl section list aborted, because it went through the members of a temporary; the first version had no author; the log of control gave the state of a rollout as a number. Change: the object is kept, the first version records the team or the author, and rows and log lines share one name of each state.

--- a/include/tarragon/control/rollout_record.h
+++ b/include/tarragon/control/rollout_record.h
@@ -4,11 +4,15 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace tarragon::control {
 
 enum class rollout_state : std::uint8_t { kRunning, kDone, kStopped };
 
+/** @return the name in rows and log lines. */
+std::string_view ToString(rollout_state state);
+
 /** Progress of one model version, kept in the row `control/rollout/<model>`. */
 struct rollout_record {
   std::string model;
--- a/include/tarragon/net/admin_api.h
+++ b/include/tarragon/net/admin_api.h
@@ -63,7 +63,7 @@
 
  private:
   admin_response GetHead();
-  admin_response Initialize(const admin_request& request);
+  admin_response Initialize(const std::string& team, const admin_request& request);
   admin_response GetRollouts();
   admin_response GetSection(const std::string& name);
   admin_response GetHistoryList(const std::string& name);
--- a/src/control/rollout_record.cc
+++ b/src/control/rollout_record.cc
@@ -13,10 +13,14 @@
 
 }  // namespace
 
+std::string_view ToString(rollout_state state) {
+  return kStateNames[static_cast<std::size_t>(state)];
+}
+
 std::string rollout_record::Encode() const {
   return nlohmann::json{{"model", model},
                         {"version", version},
-                        {"state", kStateNames[static_cast<std::size_t>(state)]},
+                        {"state", ToString(state)},
                         {"converged", converged},
                         {"engines", engines},
                         {"failures", failures},
--- a/src/net/admin_api.cc
+++ b/src/net/admin_api.cc
@@ -192,7 +192,7 @@
   const bool reads = request.method == "GET";
   if (request.path == "/admin/document") {
     if (request.method == "PUT") {
-      return Initialize(request);
+      return Initialize(team, request);
     }
     return reads ? GetHead() : Error(405, "method_not_allowed", "only GET and PUT are allowed");
   }
@@ -249,7 +249,7 @@
   return response;
 }
 
-admin_response admin_api::Initialize(const admin_request& request) {
+admin_response admin_api::Initialize(const std::string& team, const admin_request& request) {
   const json body = json::parse(request.body, nullptr, false);
   if (!body.is_object() || !body.contains("sections") || !body["sections"].is_object()) {
     return Error(400, "bad_body", "expected {\"sections\": {<name>: <text>}}");
@@ -262,6 +262,8 @@
     document::section first;
     first.name = name;
     first.edit_id = HeaderOr(request, "Edit-Id");
+    const std::string author = HeaderOr(request, "Author");
+    first.author = author.empty() ? team : author;
     first.text = text.get<std::string>();
     sections.push_back(std::move(first));
   }
--- a/src/net/control_process.cc
+++ b/src/net/control_process.cc
@@ -353,7 +353,7 @@
     if (state_changed) {
       LogEvent("rollout", {{"model", record.model},
                            {"version", record.version},
-                           {"state", static_cast<int>(record.state)},
+                           {"state", control::ToString(record.state)},
                            {"failures", record.failures},
                            {"reason", record.reason}});
     }
--- a/tools/tarragonctl/section_commands.cc
+++ b/tools/tarragonctl/section_commands.cc
@@ -94,8 +94,10 @@
   }
   const json body = json::parse(answer.body, nullptr, false);
   table_printer table({"SECTION", "VERSION"});
-  for (const auto& [name, version] : body.value("sections", json::object()).items()) {
-    table.Add({name, std::to_string(version.get<std::uint64_t>())});
+  // `items` refers to its object, which a loop over a temporary would have destroyed already.
+  const json sections = body.value("sections", json::object());
+  for (const auto& [name, version] : sections.items()) {
+    table.Add({name, version.is_number_unsigned() ? version.dump() : "-"});
   }
   table.Print();
   return kExitOk;
@@ -245,10 +247,9 @@
     }
     sections[name] = *text;
   }
-  const admin_answer answer = context.client.Call({.method = "PUT",
-                                                   .path = "/admin/document",
-                                                   .headers = {{"Edit-Id", NewEditId()}},
-                                                   .body = json{{"sections", sections}}.dump()});
+  admin_call call = EditCall(context, "/admin/document", 0);
+  call.body = json{{"sections", sections}}.dump();
+  const admin_answer answer = context.client.Call(call);
   if (answer.status != kOk) {
     return ReportFailure(answer);
   }
