--- a/tests/process/operator_client_test.sh
+++ b/tests/process/operator_client_test.sh
@@ -3,8 +3,10 @@
 # a status other than the documented one. usage: <script> <build> <base port>
 source "$(dirname "$0")/lib.sh" "$@"
 start_platform
+# A single engine would have to keep serving, so that it could never load.
 start_engine 0 --load_ms 100
-write_document 1 0 2
+start_engine 1 --load_ms 100
+write_document 2 0 2
 start_entry 0
 start_entry 1
 for n in 0 1; do eventually "entry $n answers" get "http://$(entry_address "$n")/healthz"; done
@@ -26,10 +28,10 @@
 expect 0 'models is at version 2, document 2' section edit models 'version = "1"' 'version = "2"' --wait
 expect 0 '^1 +ops ' section history models
 expect 0 '^\+version = "2"' section diff models 1
-expect 0 'models is at version 3' section undo models 1 --author alice
+expect 0 'models is at version 3' section undo models 1 --author alice --wait
 expect 0 '^3 +alice ' section history models
 expect 0 '^entry-1 +alive +3 ' fleet
-eventually "the rollout is recorded" eval 'ctl rollout | grep -Eq "^drafter +1 +done +1/1"'
+eventually "the rollout is recorded" eval 'ctl rollout | grep -Eq "^drafter +1 +done +2/2"'
 grep -q 'event=rollout model=drafter version=1 state=done' "$work/control-0.log" ||
   fail "the log of control does not name the state of the rollout"
 expect 0 '"vm": "entry-0"' status
