--- a/include/tarragon/platform/document_service.h
+++ b/include/tarragon/platform/document_service.h
@@ -105,8 +105,8 @@
   store_result<std::vector<row>> ReadRollouts();
 
   /**
-   * Writes the first version of the whole document, if there is none yet. All sections carry the same
-   * unique edit id, by which a repeated call finds its own earlier writes.
+   * Writes the first version of the whole document, if there is none yet. All sections carry the
+   * same unique edit id, by which a repeated call finds its own earlier writes.
    */
   edit_outcome Initialize(std::vector<document::section> sections);
 
--- a/src/control/rollout_record.cc
+++ b/src/control/rollout_record.cc
@@ -18,12 +18,8 @@
 }
 
 std::string rollout_record::Encode() const {
-  return nlohmann::json{{"model", model},
-                        {"version", version},
-                        {"state", ToString(state)},
-                        {"converged", converged},
-                        {"engines", engines},
-                        {"failures", failures},
+  return nlohmann::json{{"model", model},         {"version", version}, {"state", ToString(state)},
+                        {"converged", converged}, {"engines", engines}, {"failures", failures},
                         {"reason", reason}}
       .dump();
 }
--- a/tests/platform/document_service_test.cc
+++ b/tests/platform/document_service_test.cc
@@ -65,8 +65,8 @@
   document_service service;
 };
 
-// Guards against telling an operator that somebody else wrote the first version of the document when
-// the answer to the operator's own call was lost.
+// Guards against telling an operator that somebody else wrote the first version of the document
+// when the answer to the operator's own call was lost.
 TEST(DocumentService, RepeatedInitializationFindsItsOwnWrites) {
   fake_platform_store store;
   document_service service(store, Options(), NoSleep);
