--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -58,7 +58,7 @@
 step "5. Start 6 more reports through entry 0, then kill one engine and entry 0."
 callers=()
 for ((i = 0; i < 6; i++)); do call "busy-$i" 250 0 1 2 & callers+=($!); done
-eventually "each of them has tokens" eval 'for ((i = 0; i < 6; i++)); do has_tokens busy-$i 2; done'
+eventually "each of them has tokens" eval 'for ((i = 0; i < 6; i++)); do has_tokens busy-$i 2 || return 1; done'
 # The engine with the most streams, so that some of them are lost with it.
 victim=$(for n in "${serving[@]}"; do echo "$(engine_field "$n" running) $n"; done | sort -rn | head -n 1 | cut -d' ' -f2)
 kill_now "engine-$victim"
