--- a/src/net/control_process.cc
+++ b/src/net/control_process.cc
@@ -394,8 +394,8 @@
   }
   state_->port = address->port;
   if (address->port == 0) {
-    state_->port = state_->health.bind_to_any_port(address->ip.c_str());
-  } else if (!state_->health.bind_to_port(address->ip.c_str(), address->port)) {
+    state_->port = state_->health.bind_to_any_port(address->ip);
+  } else if (!state_->health.bind_to_port(address->ip, address->port)) {
     LogEvent("bind_failed", {{"address", address->ToString()}});
     return false;
   }
