--- a/src/policy/decaying_histogram.cc
+++ b/src/policy/decaying_histogram.cc
@@ -41,7 +41,7 @@
 
   /** @param i from -1 (below the axis) to the number of bins (above the axis). */
   bin_range Range(int i) const {
-    const auto edge = static_cast<std::size_t>(i + 1);
+    const std::size_t edge = static_cast<std::size_t>(i) + 1;
     return {edges[edge], edges[edge + 1], bins.at(i)};
   }
 
--- a/src/policy/endpoint_subset.cc
+++ b/src/policy/endpoint_subset.cc
@@ -42,10 +42,10 @@
 std::vector<std::size_t> DomainQuotas(const std::vector<std::size_t>& domain_sizes,
                                       std::size_t endpoints,
                                       std::size_t bound) {
-  std::vector<std::size_t> quotas;
-  for (const std::size_t size : domain_sizes) {
-    quotas.push_back((bound * size + endpoints - 1) / endpoints);
-  }
+  std::vector<std::size_t> quotas(domain_sizes.size());
+  std::ranges::transform(domain_sizes, quotas.begin(), [&](std::size_t size) {
+    return (bound * size + endpoints - 1) / endpoints;
+  });
   return quotas;
 }
 
--- a/tests/policy/two_choice_test.cc
+++ b/tests/policy/two_choice_test.cc
@@ -63,7 +63,7 @@
   for (int i = 0; i < kChoices; ++i) {
     chosen[*two_choice().Choose(candidates, random)] += 1;
   }
-  EXPECT_NEAR(chosen[3], kChoices * 2 / 12, 200);
+  EXPECT_NEAR(chosen[3], kChoices * 2.0 / 12, 200);
 }
 
 // Guards against a choice outside the eligible endpoints, and against the worst endpoint being
@@ -72,6 +72,7 @@
   const auto loads = *rc::gen::nonEmpty(
       rc::gen::container<std::vector<std::uint8_t>>(rc::gen::arbitrary<std::uint8_t>()));
   std::vector<endpoint_candidate> candidates;
+  candidates.reserve(loads.size());
   for (const std::uint8_t load : loads) {
     candidates.push_back({.eligible = load % 3 != 0, .own_in_flight = load, .slots = 8});
   }
--- a/tools/tarragon_load/latency_mode.cc
+++ b/tools/tarragon_load/latency_mode.cc
@@ -97,6 +97,7 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(gap(random)));
   }
   std::vector<result> results;
+  results.reserve(running.size());
   for (auto& future : running) {
     results.push_back(future.get());
   }
