Count VMs that an entry has not met as waiting for an edit

Seen as a failure of process.operator_client_test in two of three runs of all tests side by side. Change: /admin/fleet also names serving VMs of the document that gossip has not met (`unseen`), and the wait counts them. Ruled out: waiting some time after the start, which proves nothing. A new test covers the list. A VM that stays away while the document lists it as serving makes the wait time out.

--- a/src/net/admin_api.cc
+++ b/src/net/admin_api.cc
@@ -130,6 +130,20 @@
   return "unknown";
 }
 
+/** Adds VMs that should serve by the document and that this entry has not met. */
+void AddUnseen(const document::document_ptr& document, json& vms) {
+  if (document == nullptr) {
+    return;
+  }
+  for (const document::vm_settings& listed : document->contents().vms) {
+    const bool seen = std::ranges::any_of(
+        vms, [&listed](const json& vm) { return vm.value("vm", "") == listed.name; });
+    if (!seen && listed.state == document::serving_state::kServing) {
+      vms.push_back({{"vm", listed.name}, {"state", "unseen"}, {"document_version", 0}});
+    }
+  }
+}
+
 /** The edit that the headers describe, or what is wrong with them. */
 struct parsed_edit {
   section_edit edit;
@@ -426,6 +440,7 @@
                    {"in_force_for_ms",
                     heard ? json(Milliseconds(now - member.version_since)) : json(nullptr)}});
   }
+  AddUnseen(replica_.Current(), vms);
   return Json(200, {{"vms", std::move(vms)}});
 }
 
--- a/tests/net/admin_api_test.cc
+++ b/tests/net/admin_api_test.cc
@@ -143,5 +143,21 @@
   EXPECT_EQ(fleet["vms"][1]["in_force_for_ms"], 2000);
 }
 
+// Guards against an operator being told that an edit is in force everywhere by an entry that has
+// not met the other VMs yet.
+TEST_F(admin_api_test, FleetNamesVmsOfTheDocumentThatWereNotSeen) {
+  membership::member_view member;
+  member.name = "entry-02";
+  members_.push_back(member);
+  replica_.Offer(time_.Now(), document::operating_document::Make(
+                                  1, document::SampleSections("lanhai"), nullptr));
+  const json fleet = json::parse(Call("GET", "/admin/fleet").body);
+  const auto listed = replica_.Current()->contents().vms.size();
+  ASSERT_EQ(fleet["vms"].size(), listed);
+  EXPECT_EQ(
+      std::ranges::count_if(fleet["vms"], [](const json& vm) { return vm["state"] == "unseen"; }),
+      static_cast<std::ptrdiff_t>(listed) - 2);
+}
+
 }  // namespace
 }  // namespace tarragon::net
--- a/tools/tarragonctl/fleet_commands.cc
+++ b/tools/tarragonctl/fleet_commands.cc
@@ -35,7 +35,8 @@
   force_count count;
   for (const json& vm : vms) {
     const std::string state = vm.value("state", "");
-    if (state != "alive" && state != "suspect") {
+    // A VM of the document that the entry has not met yet may serve with an older version.
+    if (state != "alive" && state != "suspect" && state != "unseen") {
       continue;
     }
     count.live += 1;
