Let urgent generations pass deferrable ones and refuse late work on arrival

Two faults of the queue made it worse: after 50 ms without a departure it took the service rate for zero and refused work with a deadline of 600 s, and it estimated the wait of deferrable work from the rate of all work, so that requests expired in the queue behind later urgent ones. A generation's own duration was not counted.

Change: urgent generations count only urgent work as ahead of them and skip the memory reservation (`urgent_passes`). `service_rate` measures urgent and deferrable departures apart and takes a pause for what it says: less than one piece of work left in it. Behind a queue, a generation whose typical duration does not fit before its deadline is refused at once. Ruled out: a larger reserved share for urgent work, which idles at other times.

The new queue tests fail on the old code.

--- a/include/tarragon/decision/engine_options.h
+++ b/include/tarragon/decision/engine_options.h
@@ -22,6 +22,8 @@
   bool isolate_suspects = true;
   bool hedge_reads = true;
   bool limit_concurrency = true;
+  /** Urgent generations do not wait for a place or memory that deferrable ones hold. */
+  bool urgent_passes = true;
   bool limit_accounts = true;
   bool demote_long_work = true;
 
--- a/include/tarragon/policy/admission_queue.h
+++ b/include/tarragon/policy/admission_queue.h
@@ -15,6 +15,7 @@
 
 #include "tarragon/base/clock.h"
 #include "tarragon/base/ids.h"
+#include "tarragon/policy/service_rate.h"
 
 namespace tarragon::policy {
 
@@ -89,9 +90,6 @@
   std::size_t Size() const { return items_.size(); }
   std::size_t Bytes() const { return bytes_; }
 
-  /** @return cost per second that leaves the queue while it is not empty; 0 if unknown. */
-  double ServiceRate() const;
-
   void Validate() const;
 
  private:
@@ -140,8 +138,17 @@
     std::set<std::pair<double, account_id>> by_backlog;
   };
 
+  /** Requests of one level, urgent or deferrable, and how fast they leave. */
+  struct level_state {
+    std::size_t waiting = 0;
+    double backlog = 0;
+    service_rate rate;
+  };
+
   static class_key KeyOf(const queued_request& item);
   double& VirtualTime(bool deferrable);
+  level_state& Level(bool deferrable) { return deferrable ? deferrable_ : urgent_; }
+  const level_state& Level(bool deferrable) const { return deferrable ? deferrable_ : urgent_; }
   duration ExpectedWait(const queued_request& item) const;
   bool MakeRoom(const queued_request& item, std::vector<request_id>& displaced);
   const entry* FindVictim(const queued_request& item) const;
@@ -167,9 +174,8 @@
   std::size_t bytes_ = 0;
   double urgent_virtual_time_ = 0;
   double deferrable_virtual_time_ = 0;
-  /** Decayed cost served and time spent while requests were waiting. */
-  double served_cost_ = 0;
-  double busy_seconds_ = 0;
+  level_state urgent_;
+  level_state deferrable_;
   time_point observed_until_{};
 };
 
--- a/include/tarragon/policy/outlier_detector.h
+++ b/include/tarragon/policy/outlier_detector.h
@@ -74,6 +74,9 @@
   /** @return slowness relative to the median, from 1 to `max_factor`; 1 if unknown. */
   double LatencyFactor(endpoint_index endpoint) const;
 
+  /** @return median of the endpoints' averages; zero if too few are known. */
+  duration Median(latency_kind kind) const;
+
   std::size_t EjectedCount() const { return ejected_count_; }
   std::size_t MaxEjected() const;
 
--- a/src/decision/attempt_table.cc
+++ b/src/decision/attempt_table.cc
@@ -12,6 +12,7 @@
   counts.in_flight += sign;
   counts.suspects += record.suspect ? sign : 0;
   counts.long_work += record.long_work ? sign : 0;
+  counts.urgent += record.urgent ? sign : 0;
 }
 
 attempt_record& attempt_table::Add(attempt_record record) {
--- a/src/decision/attempt_table.h
+++ b/src/decision/attempt_table.h
@@ -38,6 +38,7 @@
   /** Holds the endpoint as the only suspect there. */
   bool suspect = false;
   bool long_work = false;
+  bool urgent = false;
   bool has_tokens = false;
   /** Requests of all entries at the endpoint, this one included. */
   std::uint32_t in_flight_at_send = 0;
@@ -76,6 +77,7 @@
     std::uint32_t in_flight = 0;
     std::uint32_t suspects = 0;
     std::uint32_t long_work = 0;
+    std::uint32_t urgent = 0;
     bool operator==(const endpoint_counts&) const = default;
   };
   endpoint_counts CountsOf(policy::endpoint_index endpoint) const;
--- a/src/decision/dispatcher.cc
+++ b/src/decision/dispatcher.cc
@@ -34,6 +34,11 @@
   if (record.is_generation()) {
     item.cost +=
         core_.policies.PredictTokens(record, 0) + kPromptTokenCost * record.facts.prompt_tokens;
+    // Places that others wait for go to work that can end in time. Without a queue the request is
+    // tried, since its length is only a guess.
+    if (service.queue.Size() > 0) {
+      item.service_time = core_.policies.TypicalDuration(record, service);
+    }
   } else {
     item.service_time = core_.policies.hedges.Delay(record.rule.name).value_or(duration::zero());
   }
--- a/src/decision/policy_set.cc
+++ b/src/decision/policy_set.cc
@@ -1,6 +1,7 @@
 #include "decision/policy_set.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 
 #include "tarragon/base/hash.h"
@@ -138,28 +139,28 @@
   return bound == 0 ? predicted : std::min(predicted, std::max(bound, tokens_so_far + 1));
 }
 
-policy::work_length policy_set::LengthOf(const request_record& record) const {
-  if (!record.is_generation()) {
-    return policy::work_length::kShort;
-  }
-  const std::uint32_t predicted =
+std::uint32_t policy_set::TypicalTokens(const request_record& record) const {
+  const std::uint32_t typical =
       std::max(record.most_tokens,
                lengths_.Predict(record.rule.name, record.account, record.most_tokens, kMedian));
   const std::uint32_t bound = record.facts.max_tokens;
-  const std::uint32_t length = bound == 0 ? predicted : std::min(predicted, bound);
-  return length >= options_.long_work_tokens ? policy::work_length::kLong
-                                             : policy::work_length::kShort;
+  return bound == 0 ? typical : std::min(typical, bound);
+}
+
+duration policy_set::TypicalDuration(const request_record& record,
+                                     const service_policies& service) const {
+  return service.outliers.Median(policy::latency_kind::kBetweenTokens) * TypicalTokens(record);
+}
+
+policy::work_length policy_set::LengthOf(const request_record& record) const {
+  const bool is_long = record.is_generation() && TypicalTokens(record) >= options_.long_work_tokens;
+  return is_long ? policy::work_length::kLong : policy::work_length::kShort;
 }
 
 int policy_set::PriorityOf(const request_record& record) const {
   int level = 0;
   if (options_.demote_long_work && record.is_generation()) {
-    std::uint32_t length =
-        std::max(record.most_tokens,
-                 lengths_.Predict(record.rule.name, record.account, record.most_tokens, kMedian));
-    if (record.facts.max_tokens != 0) {
-      length = std::min(length, record.facts.max_tokens);
-    }
+    std::uint32_t length = TypicalTokens(record);
     for (; level < kDemotionLevels - 1 && length > kFirstDemotionTokens; length /= 4) {
       ++level;
     }
@@ -176,8 +177,7 @@
                           const request_record& record,
                           const service_policies& service,
                           const endpoint_state& endpoint,
-                          policy::work_length length,
-                          policy::stream_memory memory) const {
+                          const placement& wanted) const {
   if (endpoint.leaving() || now < endpoint.blocked_until) {
     return false;
   }
@@ -189,13 +189,49 @@
   }
   const attempt_table::endpoint_counts own = attempts_.CountsOf(endpoint.index);
   const std::uint32_t total = own.in_flight + peers_.InFlight(endpoint.gossip_hash);
+  const std::uint32_t ahead = InFlightAhead(wanted, endpoint);
   if (options_.limit_concurrency &&
-      !concurrency_.Admits(endpoint.index, {total, own.long_work}, length)) {
+      !concurrency_.Admits(endpoint.index, {ahead, own.long_work}, wanted.length)) {
     return false;
   }
+  const bool passes = options_.urgent_passes && record.rule.urgent;
   // A request that is larger than any endpoint's memory still runs alone.
-  return !options_.memory_admission || !record.is_generation() || total == 0 ||
-         memory_.Fits(endpoint.index, memory);
+  return !options_.memory_admission || !record.is_generation() || passes || total == 0 ||
+         memory_.Fits(endpoint.index, wanted.memory);
+}
+
+policy_set::placement policy_set::PlacementOf(const request_record& record,
+                                              const service_policies& service) const {
+  placement wanted;
+  wanted.length = LengthOf(record);
+  if (!record.is_generation()) {
+    return wanted;
+  }
+  wanted.memory = MemoryOf(record, 0);
+  if (!options_.urgent_passes || !record.rule.urgent) {
+    return wanted;
+  }
+  // Engines serve by priority, so an urgent request has only other urgent ones ahead of it. Held
+  // back here, it would wait for the end of long work that the engine would set aside for it.
+  attempt_table::endpoint_counts all;
+  for (const endpoint_state* endpoint : service.endpoints) {
+    const attempt_table::endpoint_counts counts = attempts_.CountsOf(endpoint->index);
+    all.in_flight += counts.in_flight;
+    all.urgent += counts.urgent;
+  }
+  wanted.share_ahead = all.in_flight == 0 ? 1.0 : double(all.urgent) / all.in_flight;
+  return wanted;
+}
+
+std::uint32_t policy_set::InFlightAhead(const placement& wanted,
+                                        const endpoint_state& endpoint) const {
+  const attempt_table::endpoint_counts own = attempts_.CountsOf(endpoint.index);
+  const std::uint32_t peers = peers_.InFlight(endpoint.gossip_hash);
+  if (wanted.share_ahead >= 1) {
+    return own.in_flight + peers;
+  }
+  // Peers tell only totals; their mix is taken to be this entry's.
+  return own.urgent + static_cast<std::uint32_t>(std::lround(wanted.share_ahead * peers));
 }
 
 policy::endpoint_candidate policy_set::Candidate(time_point now,
@@ -225,15 +261,13 @@
                                          const request_record& record,
                                          std::mt19937_64& random) {
   service_policies& service = Of(record.facts.service);
-  const policy::work_length length = LengthOf(record);
-  const policy::stream_memory memory =
-      record.is_generation() ? MemoryOf(record, 0) : policy::stream_memory{};
+  const placement wanted = PlacementOf(record, service);
   candidates_.assign(service.endpoints.size(), {});
   bool preferred = false;
   for (std::size_t i = 0; i < candidates_.size(); ++i) {
     const endpoint_state& endpoint = *service.endpoints[i];
     candidates_[i].eligible = false;
-    if (Eligible(now, record, service, endpoint, length, memory)) {
+    if (Eligible(now, record, service, endpoint, wanted)) {
       candidates_[i] = Candidate(now, record, service, endpoint);
       preferred = preferred || !record.Avoids(endpoint.name);
     }
@@ -256,6 +290,7 @@
   attempt.in_flight_at_send = attempts_.CountsOf(attempt.index).in_flight + 1 +
                               peers_.InFlight(peer_counts::HashOf(attempt.endpoint));
   attempt.long_work = LengthOf(record) == policy::work_length::kLong;
+  attempt.urgent = record.rule.urgent;
   attempt.suspect = options_.isolate_suspects && suspects.IsSuspect(attempt.content) &&
                     suspects.TryAssign(attempt.content, attempt.index);
   if (record.is_generation()) {
--- a/src/decision/policy_set.h
+++ b/src/decision/policy_set.h
@@ -48,6 +48,13 @@
   std::uint32_t PredictTokens(const request_record& record, std::uint32_t tokens_so_far) const;
 
   /** @return whether the request is predicted to be long work. */
+  /** @return median length for the class and account, at least the tokens seen so far. */
+  std::uint32_t TypicalTokens(const request_record& record) const;
+
+  /** @return time from the first to the last token of a typical request of the class and account.
+   */
+  duration TypicalDuration(const request_record& record, const service_policies& service) const;
+
   policy::work_length LengthOf(const request_record& record) const;
 
   /** @return priority for the engine: by class, then demoted by predicted and produced length. */
@@ -81,12 +88,21 @@
  private:
   /** Notes the mean time between the tokens of the attempt's present window. */
   void RecordGap(time_point now, const request_record& record, const attempt_record& attempt);
+  /** What one choice asks of every endpoint. */
+  struct placement {
+    policy::work_length length = policy::work_length::kShort;
+    policy::stream_memory memory;
+    /** Part of the work in flight that stands ahead of the request, in [0, 1]. */
+    double share_ahead = 1;
+  };
+
+  placement PlacementOf(const request_record& record, const service_policies& service) const;
+  std::uint32_t InFlightAhead(const placement& wanted, const endpoint_state& endpoint) const;
   bool Eligible(time_point now,
                 const request_record& record,
                 const service_policies& service,
                 const endpoint_state& endpoint,
-                policy::work_length length,
-                policy::stream_memory memory) const;
+                const placement& wanted) const;
   policy::endpoint_candidate Candidate(time_point now,
                                        const request_record& record,
                                        const service_policies& service,
--- a/src/policy/admission_queue.cc
+++ b/src/policy/admission_queue.cc
@@ -13,12 +13,7 @@
 
 using seconds = std::chrono::duration<double>;
 
-// Time over which the service rate is averaged: a swing of demand or a slowed fleet shows in about
-// this time.
-constexpr seconds kRateTime{2.0};
-// With less observed busy time than this the rate is unknown, and nothing is refused by it.
-constexpr double kMinBusySeconds = 0.05;
-constexpr duration kLongestWait = std::chrono::hours(1);
+constexpr seconds kLongestWait = std::chrono::hours(1);
 
 }  // namespace
 
@@ -33,34 +28,34 @@
 }
 
 void admission_queue::ObserveTime(time_point now) {
-  if (!items_.empty() && now > observed_until_) {
-    const seconds passed = now - observed_until_;
-    const double kept = std::exp(-passed / kRateTime);
-    busy_seconds_ = busy_seconds_ * kept + passed.count();
-    served_cost_ *= kept;
+  for (level_state* level : {&urgent_, &deferrable_}) {
+    if (level->waiting > 0 && now > observed_until_) {
+      level->rate.RecordBusy(now - observed_until_);
+    }
   }
   observed_until_ = std::max(observed_until_, now);
 }
 
-double admission_queue::ServiceRate() const {
-  return busy_seconds_ < kMinBusySeconds ? 0 : served_cost_ / busy_seconds_;
-}
-
 duration admission_queue::ExpectedWait(const queued_request& item) const {
-  if (busy_seconds_ < kMinBusySeconds) {
+  const class_key key = KeyOf(item);
+  const level_state& level = Level(key.deferrable);
+  const auto mean = [&item](const level_state& of) {
+    return (of.backlog + item.cost) / static_cast<double>(of.waiting + 1);
+  };
+  // The rate of the own level is what urgent work leaves over, also of urgent work yet to come.
+  double ahead = 0;
+  std::optional<double> rate = level.rate.Estimate(mean(level));
+  if (!rate && key.deferrable) {
+    ahead = urgent_.backlog;
+    rate = urgent_.rate.Estimate(mean(urgent_));
+  }
+  if (!rate) {
     return duration::zero();
   }
-  const class_key key = KeyOf(item);
-  double urgent_backlog = 0;
-  double level_backlog = item.cost;
+  const double level_backlog = level.backlog + item.cost;
   double other_class_weight = 0;
   for (const auto& [other, queue] : classes_) {
-    if (other.deferrable != key.deferrable) {
-      urgent_backlog += other.deferrable ? 0 : queue.backlog;
-      continue;
-    }
-    level_backlog += queue.backlog;
-    if (other != key && queue.active_weight > 0) {
+    if (other.deferrable == key.deferrable && other != key && queue.active_weight > 0) {
       other_class_weight += queue.weight;
     }
   }
@@ -82,10 +77,8 @@
       std::min(own_backlog * (item.weight + other_account_weight) / item.weight, class_backlog);
   const double in_level = std::min(
       in_class * (item.class_weight + other_class_weight) / item.class_weight, level_backlog);
-  // At most a longest wait: a queue from which nothing leaves has no rate to divide by.
-  const double rate =
-      std::max(ServiceRate(), (urgent_backlog + in_level) / seconds(kLongestWait).count());
-  return std::chrono::duration_cast<duration>(seconds((urgent_backlog + in_level) / rate));
+  const seconds wait((ahead + in_level) / *rate);
+  return std::chrono::duration_cast<duration>(std::min(wait, kLongestWait));
 }
 
 push_result admission_queue::Push(time_point now, const queued_request& item) {
@@ -225,6 +218,9 @@
     MoveHead(queue, item.account, account, std::max(queue.virtual_time, account.last_finish));
   }
   bytes_ += item.bytes;
+  level_state& level = Level(known_class->first.deferrable);
+  level.waiting += 1;
+  level.backlog += item.cost;
 }
 
 void admission_queue::Erase(const entry& known, bool served) {
@@ -250,6 +246,12 @@
     queue.flows.erase(item.account);
   }
   bytes_ -= item.bytes;
+  level_state& level = Level(known.queue->first.deferrable);
+  level.waiting -= 1;
+  level.backlog = level.waiting == 0 ? 0 : std::max(level.backlog - item.cost, 0.0);
+  if (level.waiting == 0) {
+    level.rate.RecordIdle();
+  }
   by_latest_start_.erase(known.latest_start);
   if (queue.heads.empty()) {
     // An idle class starts a new period, in which no account is behind or ahead.
@@ -305,7 +307,7 @@
   }
   // A request that leaves at once says nothing of the rate at which a backlog is served.
   if (chosen->since < now) {
-    served_cost_ += chosen->item.cost;
+    Level(chosen->queue->first.deferrable).rate.RecordServed(chosen->item.cost);
   }
   queued_request item = chosen->item;
   Erase(*chosen, /*served=*/true);
--- a/src/policy/outlier_detector.cc
+++ b/src/policy/outlier_detector.cc
@@ -165,6 +165,11 @@
   ejected_count_ -= 1;
 }
 
+duration outlier_detector::Median(latency_kind kind) const {
+  const std::chrono::duration<double> median(median_seconds_[static_cast<std::size_t>(kind)]);
+  return std::chrono::duration_cast<duration>(median);
+}
+
 void outlier_detector::UpdateMedians(time_point now) {
   for (std::size_t kind = 0; kind < kKinds; ++kind) {
     scratch_.clear();
--- a/tests/decision/request_engine_rules_test.cc
+++ b/tests/decision/request_engine_rules_test.cc
@@ -286,6 +286,59 @@
   }
 }
 
+// Guards against urgent generations that wait at the entry for the end of long ones, which an
+// engine that serves by priority would set aside; and against more of them than the endpoint has
+// places.
+TEST(RequestEngineRules, UrgentGenerationsPassDeferrableOnes) {
+  constexpr int kSlots = 4;
+  for (const bool passes : {true, false}) {
+    engine_driver driver(1, {.urgent_passes = passes});
+    load_reported report;
+    report.endpoint = "drafter-0";
+    report.slots = kSlots;
+    report.memory_tokens_total = 100'000;
+    driver.Handle(report);
+    for (int i = 0; i < 2 * kSlots; ++i) {
+      driver.Handle(request_arrived{driver.Generation("restart")});
+    }
+    std::size_t urgent = 0;
+    for (int i = 0; i < 2 * kSlots; ++i) {
+      driver.Handle(request_arrived{driver.Generation("read")});
+      urgent += driver.All<send_attempt>().size();
+    }
+    EXPECT_EQ(urgent, passes ? kSlots : 0U);
+  }
+}
+
+// Guards against a request that is accepted although others wait and it cannot end in time.
+TEST(RequestEngineRules, RefusesAtOnceWhatCannotEndInTimeBehindAQueue) {
+  engine_driver driver(3, {.memory_admission = false});
+  load_reported report;
+  report.slots = 1;
+  for (const char* endpoint : {"drafter-0", "drafter-1", "drafter-2"}) {
+    report.endpoint = endpoint;
+    driver.Handle(report);
+  }
+  constexpr std::uint32_t kTokens = 100;
+  for (int i = 0; i < 60; ++i) {
+    const send_attempt sent = driver.Start(driver.Generation("restart"));
+    for (std::uint32_t index = 0; index < kTokens; ++index) {
+      driver.Advance(milliseconds(20));
+      driver.Handle(token_received{sent.attempt, sent.generation, index, "t"});
+    }
+    driver.Handle(attempt_finished{sent.attempt, kTokens, "stop"});
+  }
+  for (int i = 0; i < 4; ++i) {
+    driver.Handle(request_arrived{driver.Generation("restart")});
+  }
+  // 100 tokens with 20 ms between them take 2 s.
+  request_facts hurried = driver.Generation("restart");
+  hurried.deadline = driver.now() + milliseconds(1000);
+  driver.Handle(request_arrived{hurried});
+  EXPECT_EQ(driver.One<finish_request>().reason, finish_reason::kDeadline);
+  EXPECT_EQ(driver.One<finish_request>().verdict, run_verdict::kNotRun);
+}
+
 // Guards against reads that keep going to an endpoint that was slow in this entry's own calls.
 TEST(RequestEngineRules, EjectsASlowEndpoint) {
   for (const bool eject : {true, false}) {
--- a/tests/policy/admission_queue_test.cc
+++ b/tests/policy/admission_queue_test.cc
@@ -115,10 +115,12 @@
     now += 100ms;
     ASSERT_TRUE(queue.Pop(now, Always));
   }
-  EXPECT_NEAR(queue.ServiceRate(), 10, 1);
   queued_request hurried = MakeItem(id++, 1);
   hurried.deadline = now + 2s;
-  EXPECT_EQ(queue.Push(now, hurried).outcome, push_outcome::kTooLate);
+  const push_result refused = queue.Push(now, hurried);
+  EXPECT_EQ(refused.outcome, push_outcome::kTooLate);
+  // 41 requests at 10 a second.
+  EXPECT_NEAR(std::chrono::duration<double>(refused.expected_wait).count(), 4.1, 0.41);
   for (int i = 0; i < 30; ++i) {
     now += 100ms;
     ASSERT_TRUE(queue.Pop(now, Always));
@@ -127,6 +129,39 @@
   EXPECT_EQ(queue.Push(now, hurried).outcome, push_outcome::kQueued);
 }
 
+// Guards against refusing at the start, when nothing has left the queue yet.
+TEST(AdmissionQueue, FirstMomentsRefuseNothing) {
+  admission_queue queue;
+  queued_request patient = MakeItem(1, 1);
+  patient.deadline = kStart + 600s;
+  EXPECT_EQ(queue.Push(kStart, patient).outcome, push_outcome::kQueued);
+  for (std::uint64_t i = 2; i < 20; ++i) {
+    patient.request = {i};
+    EXPECT_EQ(queue.Push(kStart + i * 100ms, patient).outcome, push_outcome::kQueued);
+  }
+}
+
+// Guards against deferrable requests that wait until they expire while urgent ones, also later
+// ones, take all places.
+TEST(AdmissionQueue, DeferrableIsRefusedEarlyBehindUrgentWork) {
+  admission_queue queue;
+  time_point now = kStart;
+  std::uint64_t id = 0;
+  queued_request deferrable = MakeItem(id++, 1);
+  deferrable.deadline = now + 60s;
+  ASSERT_EQ(queue.Push(now, deferrable).outcome, push_outcome::kQueued);
+  for (int i = 0; i < 100; ++i) {
+    now += 100ms;
+    queued_request urgent = MakeItem(id++, 2);
+    urgent.urgent = true;
+    queue.Push(now - 50ms, urgent);
+    ASSERT_TRUE(queue.Pop(now, Always)->urgent);
+  }
+  deferrable.request = {id};
+  deferrable.deadline = now + 8s;
+  EXPECT_EQ(queue.Push(now, deferrable).outcome, push_outcome::kTooLate);
+}
+
 // Guards against refusing a small account for the backlog of a large one.
 TEST(AdmissionQueue, ExpectedWaitFollowsTheFairShare) {
   admission_queue queue;
--- /dev/null
+++ b/tests/policy/service_rate_test.cc
@@ -0,0 +1,47 @@
+#include "tarragon/policy/service_rate.h"
+
+#include <gtest/gtest.h>
+
+namespace tarragon::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against a first wait of a moment being taken for a fleet that serves nothing: a fresh
+// entry refused requests with a deadline of 600 s because nothing had left the queue in its first
+// 50 ms.
+TEST(ServiceRate, ShortPauseDoesNotMeanThatNothingLeaves) {
+  service_rate rate;
+  EXPECT_EQ(rate.Estimate(100), std::nullopt);
+  rate.RecordBusy(milliseconds(100));
+  ASSERT_TRUE(rate.Estimate(100).has_value());
+  EXPECT_GE(*rate.Estimate(100), 999);
+}
+
+// Guards against a stalled fleet whose queue fills with requests that will expire in it.
+TEST(ServiceRate, LongPauseLowersTheRate) {
+  service_rate rate;
+  for (int i = 0; i < 300; ++i) {
+    rate.RecordBusy(milliseconds(100));
+  }
+  EXPECT_NEAR(*rate.Estimate(100), 100.0 / 30, 0.01);
+}
+
+// Guards against a rate that does not follow the departures.
+TEST(ServiceRate, FollowsDepartures) {
+  service_rate rate;
+  for (int i = 0; i < 100; ++i) {
+    rate.RecordBusy(milliseconds(100));
+    rate.RecordServed(20);
+  }
+  EXPECT_NEAR(*rate.Estimate(20), 200, 20);
+  for (int i = 0; i < 100; ++i) {
+    rate.RecordBusy(milliseconds(100));
+    rate.RecordServed(5);
+  }
+  EXPECT_NEAR(*rate.Estimate(5), 50, 5);
+}
+
+}  // namespace
+}  // namespace tarragon::policy
