--- a/include/tarragon/control/order_reconciler.h
+++ b/include/tarragon/control/order_reconciler.h
@@ -106,6 +106,7 @@
   bool MayStop(time_point now, const engine_record& engine) const;
   bool IsDomainBusy(time_point now, const std::string& failure_domain) const;
   bool IsStopped(const std::string& model) const;
+  bool IsHeldByServingShare(time_point now, const std::string& model) const;
   bool MayOrder(time_point now, const engine_record& engine) const;
   void ExpireOrders(time_point now);
   void CountFailure(const engine_record& engine, std::string reason);
--- a/include/tarragon/wire/member_record.h
+++ b/include/tarragon/wire/member_record.h
@@ -49,6 +49,9 @@
 
 enum class member_state : std::uint8_t { kAlive, kSuspect, kDead, kLeft };
 
+/** @return `alive`, `suspect`, `dead` or `left`. */
+std::string_view ToString(member_state state);
+
 /** What one member says about another, or about itself. */
 struct member_record {
   member_name name;
--- a/src/control/order_reconciler.cc
+++ b/src/control/order_reconciler.cc
@@ -112,7 +112,8 @@
 
 void order_reconciler::Restore(const rollout_record& record) {
   const auto found = progress_.find(record.model);
-  if (found != progress_.end() && found->second.version == record.version) {
+  // Without failures the reason is a wait, which this holder finds out for itself.
+  if (found != progress_.end() && found->second.version == record.version && record.failures > 0) {
     found->second.failures = std::max(found->second.failures, record.failures);
     found->second.reason = record.reason;
   }
@@ -157,6 +158,9 @@
       record.state = rollout_state::kStopped;
     } else if (count.converged == count.engines) {
       record.state = rollout_state::kDone;
+    } else if (IsHeldByServingShare(now, model)) {
+      record.reason = fmt::format("{} of {} engines serve, and min_serving_share lets none stop",
+                                  count.serving, count.engines);
     }
     records.push_back(std::move(record));
   }
@@ -238,6 +242,17 @@
   return found != progress_.end() && found->second.failures >= options_.max_failures;
 }
 
+bool order_reconciler::IsHeldByServingShare(time_point now, const std::string& model) const {
+  const auto is_open = [&](const engine_record& engine) {
+    return engine.model == model && !engine.leaving && IsReachable(now, engine) &&
+           !IsConverged(now, engine);
+  };
+  auto waiting = engines_ | std::views::values | std::views::filter(is_open);
+  return !waiting.empty() && std::ranges::none_of(waiting, [&](const engine_record& engine) {
+    return engine.order.has_value() || MayStop(now, engine);
+  });
+}
+
 bool order_reconciler::MayOrder(time_point now, const engine_record& engine) const {
   if (engine.leaving || !IsReachable(now, engine) || engine.report->leaving ||
       IsConverged(now, engine)) {
--- a/src/net/admin_api.cc
+++ b/src/net/admin_api.cc
@@ -116,20 +116,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
-std::string_view StateName(wire::member_state state) {
-  switch (state) {
-    case wire::member_state::kAlive:
-      return "alive";
-    case wire::member_state::kSuspect:
-      return "suspect";
-    case wire::member_state::kDead:
-      return "dead";
-    case wire::member_state::kLeft:
-      return "left";
-  }
-  return "unknown";
-}
-
 /** Adds VMs that should serve by the document and that this entry has not met. */
 void AddUnseen(const document::document_ptr& document, json& vms) {
   if (document == nullptr) {
@@ -434,7 +420,7 @@
   for (const membership::member_view& member : members_()) {
     const bool heard = member.document_version > 0;
     vms.push_back({{"vm", member.name},
-                   {"state", StateName(member.state)},
+                   {"state", wire::ToString(member.state)},
                    {"incarnation", member.incarnation},
                    {"document_version", member.document_version},
                    {"in_force_for_ms",
--- a/src/net/entry_process.cc
+++ b/src/net/entry_process.cc
@@ -118,20 +118,6 @@
   return options;
 }
 
-std::string_view StateName(wire::member_state state) {
-  switch (state) {
-    case wire::member_state::kAlive:
-      return "alive";
-    case wire::member_state::kSuspect:
-      return "suspect";
-    case wire::member_state::kDead:
-      return "dead";
-    case wire::member_state::kLeft:
-      return "left";
-  }
-  return "unknown";
-}
-
 std::unique_ptr<platform::platform_store> MakeStore(const settings::entry_settings& settings) {
   const auto address = socket_address::Make(settings.platform_address);
   if (!address) {
@@ -320,7 +306,7 @@
     nlohmann::json members = nlohmann::json::array();
     for (const membership::member_view& member : Members()) {
       members.push_back({{"vm", member.name},
-                         {"state", StateName(member.state)},
+                         {"state", wire::ToString(member.state)},
                          {"address", ToString(member.gossip)},
                          {"document_version", member.document_version}});
     }
--- a/src/net/upstream.cc
+++ b/src/net/upstream.cc
@@ -390,6 +390,10 @@
       state->RunGeneration(send.attempt, send.generation, 0, /*resumes=*/false, address, link,
                            http);
     } else {
+      // The service can recognise a repeated call by the caller's own key.
+      if (!request->facts.idempotency_key.empty()) {
+        http.headers.emplace("Idempotency-Key", request->facts.idempotency_key);
+      }
       http.body = request->call.body;
       state->RunServiceCall(send.attempt, *request, address, link, http);
     }
--- a/tests/control/order_reconciler_test.cc
+++ b/tests/control/order_reconciler_test.cc
@@ -218,6 +218,19 @@
   EXPECT_TRUE(world.AllHave("v3"));
 }
 
+// Guards against a rollout that waits for ever without telling operators what it waits for.
+TEST(OrderReconciler, SaysThatTheServingShareHoldsARollout) {
+  rollout_world world(1, {});
+  world.reconciler().OnDocument(MakeDocument(2, "v2", /*min_serving_share=*/1.0));
+  for (int i = 0; i < 100; ++i) {
+    world.Step(1, 0);
+  }
+  EXPECT_TRUE(world.AllHave("v1"));
+  const rollout_record record = world.reconciler().Rollouts(world.now()).front();
+  EXPECT_EQ(record.state, rollout_state::kRunning);
+  EXPECT_NE(record.reason.find("min_serving_share"), std::string::npos);
+}
+
 // Guards against a successor that repeats a rollout which its predecessor had stopped.
 TEST(OrderReconciler, RestoredFailuresKeepTheRolloutStopped) {
   rollout_world world(1, {});
--- a/tests/net/entry_process_test.cc
+++ b/tests/net/entry_process_test.cc
@@ -299,6 +299,24 @@
   EXPECT_EQ(calls, 0);
 }
 
+// Guards against a plain service that cannot tell a repeated call from a new one.
+TEST(EntryProcess, PassesTheIdempotencyKeyOn) {
+  std::atomic<bool> has_key{false};
+  raw_server endpoint([&](const std::string& request, raw_connection& c) {
+    if (!AnswerPoll(request, c)) {
+      has_key = request.find("Idempotency-Key: k7\r\n") != std::string::npos;
+      c.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    }
+  });
+  const running_entry entry(endpoint.address());
+  const std::string answer =
+      Exchange(entry.port(),
+               "GET /services/booking/slots HTTP/1.1\r\nConnection: close\r\n"
+               "Authorization: Bearer t1\r\nIdempotency-Key: k7\r\n\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+  EXPECT_TRUE(has_key);
+}
+
 // Guards against a caller that does not read and so stalls the core thread or fills memory.
 TEST(EntryProcess, DropsACallerThatDoesNotRead) {
   const std::string text(4000, 'x');
