Take a VM out of service when the document says so

Cause: the fleet section can mark a VM as leaving, but the entry there stayed ready, so the load balancer went on sending to it. Read while checking the document's promise against the code. Change: such an entry is not ready; what arrives is still served. One of two gauges with the number of open requests is gone.

--- a/src/decision/request_engine.cc
+++ b/src/decision/request_engine.cc
@@ -195,8 +195,6 @@
   }
   callers.Tick();
   core.policies.Tick(core.now);
-  core.counters.Gauge("tarragon_requests_open")
-      .Set(static_cast<std::int64_t>(core.requests.size()));
   core.counters.Gauge("tarragon_attempts_open")
       .Set(static_cast<std::int64_t>(core.attempts.size()));
   core.counters.Gauge("tarragon_requests_waiting").Set(static_cast<std::int64_t>(queue.size()));
--- a/src/net/entry_process.cc
+++ b/src/net/entry_process.cc
@@ -322,7 +322,17 @@
                          "application/json");
   }
 
-  bool ready() const { return !draining && documents.Current() != nullptr; }
+  /** Not ready means that the load balancer sends nothing new; what arrives is still served. */
+  bool ready() const {
+    const document::document_ptr document = documents.Current();
+    return !draining && document != nullptr && !IsLeaving(*document);
+  }
+
+  bool IsLeaving(const document::operating_document& document) const {
+    return std::ranges::any_of(document.contents().vms, [this](const auto& vm) {
+      return vm.name == settings.vm_name && vm.state == document::serving_state::kLeaving;
+    });
+  }
 
   const settings::entry_settings settings;
   const clock& time;
--- a/tests/net/entry_process_test.cc
+++ b/tests/net/entry_process_test.cc
@@ -25,7 +25,7 @@
 
 constexpr int kTokens = 6;
 
-document::document_ptr DocumentFor(const std::string& address) {
+document::document_contents ContentsFor(const std::string& address) {
   document::document_contents contents;
   contents.models.emplace_back().name = "drafter";
   document::client_account& account = contents.accounts.emplace_back();
@@ -54,7 +54,7 @@
     endpoint.service = service;
     endpoint.failure_domain = "a";
   }
-  return document::operating_document::MakeForTesting(1, contents);
+  return contents;
 }
 
 settings::entry_settings Settings() {
@@ -69,7 +69,8 @@
 
 struct running_entry {
   explicit running_entry(const std::string& endpoint) : entry(Settings(), time) {
-    EXPECT_TRUE(entry.Start(DocumentFor(endpoint)));
+    EXPECT_TRUE(
+        entry.Start(document::operating_document::MakeForTesting(1, ContentsFor(endpoint))));
   }
   int port() const { return entry.callers_port(); }
 
@@ -317,6 +318,25 @@
   EXPECT_TRUE(has_key);
 }
 
+// Guards against a load balancer that goes on sending to a VM which the document takes out of
+// service, and against cutting off what still arrives there.
+TEST(EntryProcess, VmThatTheDocumentTakesOutIsNotReadyAndStillServes) {
+  raw_server endpoint([&](const std::string& request, raw_connection& c) {
+    if (!AnswerPoll(request, c)) {
+      c.Write(kStreamHeader);
+      WriteTokens(c, 0, kTokens);
+      c.Write(kDoneEvent);
+    }
+  });
+  running_entry entry(endpoint.address());
+  EXPECT_TRUE(entry.entry.IsReady());
+  document::document_contents contents = ContentsFor(endpoint.address());
+  contents.vms.push_back({"entry-1", document::serving_state::kLeaving});
+  entry.entry.ChangeDocument(document::operating_document::MakeForTesting(2, contents));
+  EXPECT_FALSE(entry.entry.IsReady());
+  EXPECT_THAT(Exchange(entry.port(), Post("", kStreamBody)), HasSubstr("data: [DONE]"));
+}
+
 // Guards against a caller that does not read and so stalls the core thread or fills memory.
 TEST(EntryProcess, DropsACallerThatDoesNotRead) {
   const std::string text(4000, 'x');
