Ask an engine that is back for a lost generation before repeating it

Cause: a generation counts as lost once its engine could not be reached for the loss timeout. Its repeat may wait for a free place; when it was sent, nobody asked whether the first engine had come back and still ran the generation, so that two generations of one request could run side by side (RepeatFirstAsksAnEngineThatIsBack, soak run).

Change: the request keeps the generations that were lost in this way. Before a repeat is sent later than the last failed connect, the engine is asked for the generation. A failed connect or an unknown generation lets the repeat go on at once; an answer continues the stream behind the tokens that the caller holds.

Ruled out: repeating only after the engine is known to be gone, since an engine that is dark for long would hold the request past its deadline.

Measured: the test failed before and passes.

--- a/src/decision/attempt_table.h
+++ b/src/decision/attempt_table.h
@@ -34,6 +34,8 @@
   generation_id generation;
   attempt_phase phase = attempt_phase::kSent;
   bool is_resume = false;
+  /** Asks whether an endpoint that could not be reached is back and still runs the generation. */
+  bool is_recheck = false;
   /** The endpoint took the generation on this or an earlier connection. */
   bool taken = false;
   /** When the endpoint first said that it does not know a generation that it had not accepted. */
--- a/src/decision/dispatcher.cc
+++ b/src/decision/dispatcher.cc
@@ -144,10 +144,40 @@
 
 bool dispatcher::TrySend(request_record& record) {
   const endpoint_state* chosen = core_.policies.Choose(core_.now, record, core_.random);
-  if (chosen != nullptr) {
+  if (chosen == nullptr) {
+    return false;
+  }
+  if (!Recheck(record)) {
     Send(record, *chosen);
   }
-  return chosen != nullptr;
+  return true;
+}
+
+bool dispatcher::Recheck(request_record& record) {
+  // A connect that failed at this moment shows that the endpoint is still away.
+  const auto due = std::ranges::find_if(record.unreachable, [&](const auto& lost) {
+    return lost.failed_at < core_.now && core_.endpoints.Find(lost.endpoint) != nullptr;
+  });
+  if (due == record.unreachable.end()) {
+    return false;
+  }
+  const unreachable_generation lost = *due;
+  record.unreachable.erase(due);
+  record.phase = request_phase::kActive;
+  record.announced = lost.delivered > 0;
+  record.restart_pending = record.restart_pending && lost.delivered == 0;
+  core_.Follow(record, lost.generation, lost.delivered);
+  attempt_record attempt;
+  attempt.endpoint = lost.endpoint;
+  attempt.generation = lost.generation;
+  attempt.is_resume = true;
+  attempt.is_recheck = true;
+  attempt.taken = true;
+  const attempt_id id = core_.AddAttempt(record, std::move(attempt)).id;
+  core_.Count("tarragon_generations_rechecked_total");
+  core_.Emit(resume_attempt{record.facts.request, id, lost.endpoint, lost.generation,
+                            record.cursor.next_index()});
+  return true;
 }
 
 void dispatcher::TryHedge(request_record& record) {
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -33,6 +33,11 @@
   void RunInOrder(service_policies& service);
   void RunQueue(service_policies& service);
   bool TrySend(request_record& record);
+  /**
+   * Asks an endpoint that could not be reached for the generation that was lost with it.
+   * @return false if there is nothing to ask.
+   */
+  bool Recheck(request_record& record);
   void Send(request_record& record, const endpoint_state& endpoint);
   bool EndIfHopeless(request_record& record);
 
--- a/src/decision/request_record.h
+++ b/src/decision/request_record.h
@@ -26,6 +26,16 @@
   kFinished,
 };
 
+/** A generation that counts as lost because its endpoint could not be reached. */
+struct unreachable_generation {
+  endpoint_name endpoint;
+  generation_id generation;
+  /** Tokens that the caller holds of it; zero once another generation was announced. */
+  std::uint32_t delivered = 0;
+  /** When a connect to the endpoint failed last. */
+  time_point failed_at;
+};
+
 /** Everything known of a request that has not finished. */
 struct request_record {
   request_facts facts;
@@ -45,6 +55,8 @@
   bool hedged = false;
   stream_cursor cursor;
   std::vector<attempt_id> attempts;
+  /** May still run at endpoints that return, so that they are asked before a repeat is sent. */
+  std::vector<unreachable_generation> unreachable;
   /** Endpoints that declined or failed this request since it was queued. */
   std::vector<endpoint_name> avoid;
   std::uint32_t sends = 0;
--- a/src/decision/retry_handler.cc
+++ b/src/decision/retry_handler.cc
@@ -63,6 +63,10 @@
                             policy::attempt_end end,
                             run_verdict verdict,
                             std::string message) {
+  if (attempt.is_recheck && end != policy::attempt_end::kConnectionLost) {
+    OnRechecked(record, attempt, end);
+    return;
+  }
   // Only a failed connect proves that the endpoint is still out of reach; after silence the
   // earlier failures say nothing of now.
   const bool unreachable =
@@ -70,6 +74,9 @@
       core_.endpoints.UnreachableFor(core_.now, attempt.endpoint) >= core_.options.loss_timeout;
   if (verdict != run_verdict::kNotRun && unreachable) {
     end = policy::attempt_end::kGenerationLost;
+    if (record.is_generation()) {
+      NoteUnreachable(record, attempt);
+    }
   }
   // The endpoint took it and does not know it now, or is gone: it died with the request in flight.
   if (verdict != run_verdict::kNotRun && end == policy::attempt_end::kGenerationLost &&
@@ -107,6 +114,32 @@
   }
 }
 
+void retry_handler::NoteUnreachable(request_record& record, const attempt_record& attempt) const {
+  record.unreachable.push_back({.endpoint = attempt.endpoint,
+                                .generation = attempt.generation,
+                                .delivered = record.cursor.first_held(),
+                                .failed_at = core_.now});
+}
+
+void retry_handler::OnRechecked(request_record& record,
+                                attempt_record& attempt,
+                                policy::attempt_end end) {
+  // The loss and its death were counted when the endpoint was found to be away.
+  if (end == policy::attempt_end::kConnectFailed) {
+    NoteUnreachable(record, attempt);
+  }
+  core_.EndAttempt(record, attempt.id, run_verdict::kMayHaveRun);
+  if (record.phase == request_phase::kDetached) {
+    core_.Finish(
+        record,
+        {.reason = finish_reason::kCancelled, .status = 499, .message = "the caller is gone"});
+    return;
+  }
+  record.restart_pending = record.restart_pending || record.cursor.visible();
+  core_.Follow(record, {}, 0);
+  queue_.EnqueueAgain(record);
+}
+
 void retry_handler::OnUnreachableGeneration(request_record& record) {
   record.past_verdict = Combine(record.past_verdict, run_verdict::kMayHaveRun);
   if (EffectiveRule(record) == document::loss_policy::kEnd) {
--- a/src/decision/retry_handler.h
+++ b/src/decision/retry_handler.h
@@ -35,6 +35,10 @@
                               const attempt_record& attempt,
                               policy::attempt_end end,
                               run_verdict verdict) const;
+  /** Keeps the generation in mind, since its endpoint may return and still run it. */
+  void NoteUnreachable(request_record& record, const attempt_record& attempt) const;
+  /** The endpoint is still away, or is back and does not know the generation. */
+  void OnRechecked(request_record& record, attempt_record& attempt, policy::attempt_end end);
   void SendAgain(request_record& record, const policy::send_again& how);
   void GiveUp(request_record& record, policy::give_up_cause cause, std::string message);
 
--- a/src/decision/stream_handler.cc
+++ b/src/decision/stream_handler.cc
@@ -11,6 +11,7 @@
     core_.endpoints.Reached(attempt.endpoint);
   }
   attempt.taken = true;
+  attempt.is_recheck = false;
   attempt.last_token = core_.now;
   record.accepted_once = true;
   record.last_progress = core_.now;
@@ -23,6 +24,8 @@
   if (std::exchange(record.announced, true)) {
     return;
   }
+  // The caller discards what it holds of other generations.
+  std::ranges::for_each(record.unreachable, [](auto& lost) { lost.delivered = 0; });
   if (std::exchange(record.restart_pending, false)) {
     core_.Emit(restart_stream{record.facts.request, attempt.endpoint, attempt.generation});
   } else {
