Compute the pace of an engine when an interval is recorded

Each choice of an endpoint sorted the intervals of all engines: 1.5 us of the 2.5 us of a choice among 12. The choice with what it predicts now takes 0.55 us and 0.57 us (routing_bench). The gateway's results are unchanged.

--- a/include/tarragon/routing/pace_tracker.h
+++ b/include/tarragon/routing/pace_tracker.h
@@ -26,7 +26,7 @@
   void Learn(std::optional<duration> pace) { told_ = pace; }
 
   /** @return the pace by own intervals; empty if there are too few. */
-  std::optional<duration> Own() const;
+  std::optional<duration> Own() const { return own_; }
 
   /** @return the own pace, or what other daemons have learned. */
   std::optional<duration> Get() const;
@@ -35,6 +35,8 @@
   bool IsSettled() const { return count_ >= kSettledSamples; }
 
  private:
+  duration LowQuantile() const;
+
   static constexpr std::size_t kSamples = 32;
   static constexpr std::size_t kMinSamples = 3;
   static constexpr std::size_t kSettledSamples = 24;
@@ -51,6 +53,7 @@
   std::array<duration, kSamples> samples_{};
   std::size_t count_ = 0;
   time_point last_at_;
+  std::optional<duration> own_;
   std::optional<duration> told_;
 };
 
--- a/src/routing/pace_tracker.cc
+++ b/src/routing/pace_tracker.cc
@@ -12,12 +12,12 @@
   const double growth = 1 + kGrowthPerGeneration * running;
   samples_[count_ % kSamples] = std::chrono::duration_cast<duration>(interval / growth);
   ++count_;
+  if (count_ >= kMinSamples) {
+    own_ = LowQuantile();
+  }
 }
 
-std::optional<duration> pace_tracker::Own() const {
-  if (count_ < kMinSamples) {
-    return std::nullopt;
-  }
+duration pace_tracker::LowQuantile() const {
   const std::size_t size = std::min(count_, kSamples);
   std::array<duration, kSamples> sorted = samples_;
   const auto place =
@@ -27,8 +27,7 @@
 }
 
 std::optional<duration> pace_tracker::Get() const {
-  const std::optional<duration> own = Own();
-  return own ? own : told_;
+  return own_ ? own_ : told_;
 }
 
 }  // namespace tarragon::routing
