Test real gateways against an emulator of the users' platform

No test ran the program with its settings, the store and the list of endpoints, or ended it in the middle.

Change: tests/emulator has the platform's store, engines that keep and copy the memory of generations, plain endpoints and callers in one event loop, and starts gateways as processes of their own. Four tests cover each kind of request, engines that give notice, SIGTERM and a start without the store; a seeded run deals kills, pauses, outages, crashes, lost answers and callers that leave, and checks every answer against what the endpoints ran.

Ruled out: timing limits in the tests beyond 20 s of liveness; a second HTTP server for stand-ins (the thread-per-connection one cannot reset or stall).

--- /dev/null
+++ b/tests/emulator/caller.cc
@@ -0,0 +1,96 @@
+#include "emulator/caller.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace tarragon::emulator {
+
+namespace {
+
+constexpr int kOk = 200;
+/** Prompt and longest output of a report: long enough for a backup. */
+constexpr std::string_view kReportUsage = "3000,2000";
+constexpr std::string_view kTagUsage = "800,50";
+
+}  // namespace
+
+caller::caller(asio::io_context& loop, std::string id, call_kind kind, std::uint64_t events)
+    : loop_(loop), id_(std::move(id)), kind_(kind), events_(events) {}
+
+std::string caller::Path() const {
+  switch (kind_) {
+    case call_kind::kRead:
+      return "/read/1";
+    case call_kind::kCommit:
+      return "/commit/1";
+    case call_kind::kReport:
+      return "/stream-report/1";
+    case call_kind::kTag:
+      return "/stream-tag/1";
+  }
+  return "/";
+}
+
+void caller::Send(const std::string& address) {
+  std::string request = fmt::format(
+      "{} {} HTTP/1.1\r\nHost: fleet.example\r\nAttempt-Id: {}\r\nAuthorization: Token key\r\n"
+      "Deadline-Ms: 20000\r\n",
+      kind_ == call_kind::kRead ? "GET" : "POST", Path(), id_);
+  if (is_stream()) {
+    request += fmt::format("Event-Count: {}\r\nToken-Usage: {}\r\n", events_,
+                           kind_ == call_kind::kReport ? kReportUsage : kTagUsage);
+  }
+  request += "\r\n";
+  exchange_ = std::make_shared<gateway::http_exchange>(loop_, *this);
+  exchange_->Start(address, std::move(request), /*no_answer_body=*/false);
+}
+
+void caller::Leave() {
+  left_ = done_ = true;
+  exchange_->Cancel();
+}
+
+void caller::OnAnswerHead(http::message_head head) {
+  status_ = head.status;
+  signed_ = head.headers.Find("Response-Signature") != nullptr;
+}
+
+void caller::OnAnswerBody(std::string_view bytes) {
+  body_.append(bytes);
+}
+
+void caller::OnAnswerEnd() {
+  complete_ = done_ = true;
+  exchange_->Cancel();
+}
+
+void caller::OnExchangeError(gateway::exchange_error) {
+  done_ = true;
+}
+
+std::string caller::ExpectedEvents(std::uint64_t count) const {
+  std::string text;
+  for (std::uint64_t event = 1; event <= count; ++event) {
+    text += fmt::format("id: {}\ndata: {} {}\n\n", event, id_, event);
+  }
+  return text;
+}
+
+std::string caller::Fault() const {
+  if (status_ != kOk) {
+    return {};
+  }
+  if (!signed_) {
+    return "a success without an endpoint's signature";
+  }
+  const std::string whole =
+      is_stream() ? ExpectedEvents(events_) : fmt::format("{} {}", id_, Path());
+  if (complete_ && body_ != whole) {
+    return fmt::format("the answer looks complete and is not: {} of {} bytes", body_.size(),
+                       whole.size());
+  }
+  return whole.starts_with(body_) ? "" : "bytes that no endpoint sent for this request";
+}
+
+}  // namespace tarragon::emulator
--- /dev/null
+++ b/tests/emulator/fleet_emulator.cc
@@ -0,0 +1,193 @@
+#include "emulator/fleet_emulator.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace tarragon::emulator {
+
+namespace {
+
+constexpr std::string_view kEngines = "engines";
+constexpr std::string_view kPlain = "plain";
+
+nlohmann::json Route(std::string_view prefix, std::string_view kind, std::string_view service) {
+  return {{"name", prefix},  {"host", "fleet.example"}, {"prefix", prefix},
+          {"kind", kind},    {"timeout-ms", 20000},     {"target-latency-ms", 1000},
+          {"priority", 0},   {"service", service},      {"max-attempts", 2},
+          {"public", false}, {"resumable", false}};
+}
+
+/** Every route allows two attempts, so that only the kind of request keeps it from running twice.
+ */
+nlohmann::json Config(std::uint64_t version) {
+  const nlohmann::json report = Route("/stream-report/", "stream", kEngines);
+  nlohmann::json tag = Route("/stream-tag/", "stream", kEngines);
+  tag["resumable"] = true;
+  const nlohmann::json commit = Route("/commit/", "unsafe", kPlain);
+  const nlohmann::json engine = {
+      {"slots", 24}, {"kv-capacity", 34000}, {"moves", true}, {"backups", true}};
+  return {{"version", version},
+          {"routes", {report, tag, commit, Route("/read/", "safe", kPlain)}},
+          {"services",
+           {{{"name", kEngines}, {"max-connections", 200}, {"engine", engine}},
+            {{"name", kPlain}, {"max-connections", 200}}}},
+          {"tenants", {{{"name", "shop"}, {"api-keys", {"key"}}}}}};
+}
+
+}  // namespace
+
+fleet_emulator::fleet_emulator(fleet_options options) : options_(options), random_(options.seed) {
+  folder_ = (std::filesystem::temp_directory_path() / "tarragon-fleet-XXXXXX").string();
+  folder_ = ::mkdtemp(folder_.data());
+  WriteConfig();
+  for (std::size_t i = 0; i < options_.engines; ++i) {
+    AddEndpoint(std::string(kEngines));
+  }
+  for (std::size_t i = 0; i < options_.plain_endpoints; ++i) {
+    AddEndpoint(std::string(kPlain));
+  }
+  for (std::size_t i = 0; i < options_.gateways; ++i) {
+    gateways_.push_back(std::make_unique<gateway_child>(gateway_options{
+        fmt::format("vm-{}", i), fmt::format("domain-{}", i % 3), store_.address(), folder_}));
+    gateways_.back()->Start();
+  }
+}
+
+fleet_emulator::~fleet_emulator() {
+  gateways_.clear();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void fleet_emulator::WriteConfig() {
+  config_version_ += 1 + random_() % 5;
+  store_.Put("op", "config", Config(config_version_).dump());
+}
+
+void fleet_emulator::AddEndpoint(const std::string& service) {
+  endpoint_options options;
+  options.id = fmt::format("{}-{}", service, ++last_endpoint_);
+  options.seed = random_();
+  if (service == kPlain) {
+    options.faults = options_.plain_faults;
+  }
+  auto& group = service == kPlain ? plain_ : engines_;
+  group.push_back(
+      std::make_unique<endpoint_emulator>(loop_, std::move(options), record_, engines_by_address_));
+  List(*group.back(), service, /*leaving=*/false);
+}
+
+void fleet_emulator::List(const endpoint_emulator& endpoint,
+                          const std::string& service,
+                          bool leaving) {
+  const nlohmann::json entry = {{"service", service},
+                                {"address", endpoint.address()},
+                                {"zone", "domain-0"},
+                                {"version", "v1"},
+                                {"slots", 24},
+                                {"state", leaving ? "draining" : "ready"},
+                                {"cold-remaining-ms", 0},
+                                {"sequence", 1}};
+  store_.Put("servers", endpoint.id(), entry.dump());
+}
+
+std::unique_ptr<endpoint_emulator> fleet_emulator::TakeEngine() {
+  const auto index = static_cast<std::ptrdiff_t>(random_() % engines_.size());
+  auto taken = std::move(*(engines_.begin() + index));
+  engines_.erase(engines_.begin() + index);
+  return taken;
+}
+
+void fleet_emulator::ReplaceEngine(std::chrono::milliseconds notice) {
+  AddEndpoint(std::string(kEngines));
+  ended_.push_back(TakeEngine());
+  endpoint_emulator* const leaving = ended_.back().get();
+  List(*leaving, std::string(kEngines), /*leaving=*/true);
+  auto timer = std::make_shared<asio::steady_timer>(loop_, notice);
+  timer->async_wait([this, timer, leaving](const asio::error_code&) {
+    leaving->Crash();
+    store_.Remove("servers", leaving->id());
+  });
+}
+
+void fleet_emulator::CrashEngine() {
+  AddEndpoint(std::string(kEngines));
+  ended_.push_back(TakeEngine());
+  ended_.back()->Crash();
+  store_.Remove("servers", ended_.back()->id());
+}
+
+std::shared_ptr<caller> fleet_emulator::Call(call_kind kind,
+                                             std::uint64_t events,
+                                             std::size_t gateway_index) {
+  auto added = std::make_shared<caller>(loop_, fmt::format("{:016x}", random_()), kind, events);
+  callers_.push_back(added);
+  added->Send(gateway(gateway_index).callers_address());
+  return added;
+}
+
+void fleet_emulator::RunFor(std::chrono::milliseconds time) {
+  loop_.restart();
+  loop_.run_for(time);
+}
+
+bool fleet_emulator::RunUntil(const std::function<bool()>& holds, std::chrono::milliseconds limit) {
+  constexpr std::chrono::milliseconds kStep{5};
+  const time_point end = time_.Now() + limit;
+  bool holding = holds();
+  while (!holding && time_.Now() < end) {
+    RunFor(kStep);
+    holding = holds();
+  }
+  return holding;
+}
+
+bool fleet_emulator::AwaitService() {
+  constexpr std::chrono::milliseconds kLimit{20000};
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    std::shared_ptr<caller> read;
+    const bool serves = RunUntil(
+        [&] {
+          if (!read || (read->done() && !read->served())) {
+            read = Call(call_kind::kRead, 0, i);
+          }
+          return read->served();
+        },
+        kLimit);
+    if (!serves) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::string fleet_emulator::Faults() const {
+  std::string faults;
+  const auto add = [&faults](const caller& who, std::string_view what) {
+    faults +=
+        fmt::format("request {} of kind {}: {}\n", who.id(), static_cast<int>(who.kind()), what);
+  };
+  for (const auto& known : callers_) {
+    const int runs = record_.Runs(known->id());
+    if (const std::string fault = known->Fault(); !fault.empty()) {
+      add(*known, fault);
+    }
+    const bool once = known->kind() == call_kind::kCommit || known->kind() == call_kind::kReport;
+    if (once && runs > 1) {
+      add(*known, fmt::format("ran {} times", runs));
+    }
+    if (known->refused() && known->kind() != call_kind::kRead && runs > 0) {
+      add(*known, "was refused and has run");
+    }
+  }
+  for (const std::string& request : record_.RunningTwice()) {
+    faults += fmt::format("request {}: ran at two endpoints at once\n", request);
+  }
+  return faults;
+}
+
+}  // namespace tarragon::emulator
--- /dev/null
+++ b/tests/emulator/fleet_emulator.h
@@ -0,0 +1,90 @@
+#ifndef TARRAGON_TESTS_EMULATOR_FLEET_EMULATOR_H_
+#define TARRAGON_TESTS_EMULATOR_FLEET_EMULATOR_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "emulator/caller.h"
+#include "emulator/endpoint_emulator.h"
+#include "emulator/execution_record.h"
+#include "emulator/gateway_child.h"
+#include "emulator/store_emulator.h"
+#include "tarragon/base/real_clock.h"
+
+namespace tarragon::emulator {
+
+struct fleet_options {
+  std::size_t gateways = 3;
+  std::size_t engines = 5;
+  std::size_t plain_endpoints = 2;
+  endpoint_faults plain_faults;
+  std::uint64_t seed = 1;
+};
+
+/** A whole deployment on loopback: store, endpoints, real gateways and callers. */
+class fleet_emulator final {
+ public:
+  explicit fleet_emulator(fleet_options options);
+  ~fleet_emulator();
+
+  asio::io_context& loop() { return loop_; }
+  store_emulator& store() { return store_; }
+  const execution_record& record() const { return record_; }
+  gateway_child& gateway(std::size_t index) { return *gateways_.at(index); }
+  std::size_t gateway_count() const { return gateways_.size(); }
+  const std::vector<std::shared_ptr<caller>>& callers() const { return callers_; }
+  std::mt19937_64& random() { return random_; }
+
+  /** Writes one more version of the configuration. */
+  void WriteConfig();
+
+  /** Sends a request to a gateway. */
+  std::shared_ptr<caller> Call(call_kind kind, std::uint64_t events, std::size_t gateway_index);
+
+  /** An engine gives notice and ends later; another one comes. */
+  void ReplaceEngine(std::chrono::milliseconds notice);
+  /** An engine ends without notice; another one comes. */
+  void CrashEngine();
+
+  /** Runs the loop for some time. */
+  void RunFor(std::chrono::milliseconds time);
+  /** Runs the loop until `holds`. @return false after `limit`. */
+  bool RunUntil(const std::function<bool()>& holds, std::chrono::milliseconds limit);
+
+  /** Waits until each gateway serves a read. @return false if one does not. */
+  bool AwaitService();
+
+  /** @return broken promises of all answers so far, one line each; empty if there are none. */
+  std::string Faults() const;
+
+ private:
+  void AddEndpoint(const std::string& service);
+  void List(const endpoint_emulator& endpoint, const std::string& service, bool leaving);
+  std::unique_ptr<endpoint_emulator> TakeEngine();
+
+  fleet_options options_;
+  asio::io_context loop_{1};
+  real_clock time_;
+  std::mt19937_64 random_;
+  execution_record record_{time_};
+  endpoint_emulator::directory engines_by_address_;
+  store_emulator store_{loop_};
+  std::vector<std::unique_ptr<endpoint_emulator>> engines_;
+  std::vector<std::unique_ptr<endpoint_emulator>> plain_;
+  /** Endpoints that have ended; timers may still refer to them. */
+  std::vector<std::unique_ptr<endpoint_emulator>> ended_;
+  std::vector<std::shared_ptr<caller>> callers_;
+  std::vector<std::unique_ptr<gateway_child>> gateways_;
+  std::string folder_;
+  std::uint64_t config_version_ = 0;
+  std::uint64_t last_endpoint_ = 0;
+};
+
+}  // namespace tarragon::emulator
+
+#endif  // TARRAGON_TESTS_EMULATOR_FLEET_EMULATOR_H_
--- /dev/null
+++ b/tests/emulator/gateway_child.h
@@ -0,0 +1,51 @@
+#ifndef TARRAGON_TESTS_EMULATOR_GATEWAY_CHILD_H_
+#define TARRAGON_TESTS_EMULATOR_GATEWAY_CHILD_H_
+
+#include <sys/types.h>
+
+#include <string>
+
+namespace tarragon::emulator {
+
+struct gateway_options {
+  std::string name;
+  std::string failure_domain;
+  std::string store_address;
+  /** Folder for the settings file and the log. */
+  std::string folder;
+};
+
+/** A real `tarragon-gateway` as a process of its own. Ended with its object. */
+class gateway_child final {
+ public:
+  explicit gateway_child(gateway_options options);
+  ~gateway_child();
+  gateway_child(const gateway_child&) = delete;
+  gateway_child& operator=(const gateway_child&) = delete;
+
+  /** Starts the program, again after it has ended. */
+  void Start();
+  /** Sends a signal to the process that `Start` has started. */
+  void Signal(int signal) const;
+  /** Kills the process and waits for its end. */
+  void Kill();
+  /** @return whether the process has ended; its exit status is then known. */
+  bool HasEnded();
+  int exit_status() const { return exit_status_; }
+
+  const std::string& callers_address() const { return callers_address_; }
+  const std::string& readiness_address() const { return readiness_address_; }
+  std::string log_file() const { return options_.folder + "/" + options_.name + ".log"; }
+
+ private:
+  gateway_options options_;
+  std::string callers_address_;
+  std::string readiness_address_;
+  std::string settings_file_;
+  pid_t process_ = 0;
+  int exit_status_ = -1;
+};
+
+}  // namespace tarragon::emulator
+
+#endif  // TARRAGON_TESTS_EMULATOR_GATEWAY_CHILD_H_
--- /dev/null
+++ b/tests/emulator/http_service.cc
@@ -0,0 +1,201 @@
+#include "emulator/http_service.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <asio/write.hpp>
+#include <charconv>
+#include <utility>
+
+namespace tarragon::emulator {
+
+namespace {
+
+constexpr std::size_t kMaxHeaderBytes = std::size_t{64} << 10;
+
+std::string Unescape(std::string_view text) {
+  constexpr int kHexBase = 16;
+  std::string plain;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    int code = 0;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(text.data() + i + 1, text.data() + i + 3, code, kHexBase).ec ==
+            std::errc{}) {
+      plain.push_back(static_cast<char>(code));
+      i += 2;
+    } else {
+      plain.push_back(text[i]);
+    }
+  }
+  return plain;
+}
+
+}  // namespace
+
+std::string incoming_request::Header(std::string_view name) const {
+  const std::string* value = head.headers.Find(name);
+  return value == nullptr ? std::string() : *value;
+}
+
+std::string incoming_request::Query(std::string_view name) const {
+  std::string_view rest = head.target;
+  const std::size_t start = rest.find('?');
+  rest = start == std::string_view::npos ? std::string_view() : rest.substr(start + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(pair.size() + 1, rest.size()));
+    const std::size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+      return Unescape(pair.substr(equals + 1));
+    }
+  }
+  return {};
+}
+
+/** One connection; answers one request at a time and reads the next one afterwards. */
+class http_service::connection final : public responder,
+                                       public http::message_listener,
+                                       public std::enable_shared_from_this<connection> {
+ public:
+  connection(asio::ip::tcp::socket socket, const handler& on_request)
+      : socket_(std::move(socket)),
+        on_request_(on_request),
+        reader_(http::message_kind::kRequest, *this, kMaxHeaderBytes) {
+    socket_.set_option(asio::ip::tcp::no_delay(true));
+  }
+
+  void Read() {
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
+          if (error || self->closed_) {
+            self->Closed();
+            return;
+          }
+          self->reader_.Feed({self->buffer_.data(), size});
+          if (self->reader_.error() != http::reader_error::kNone) {
+            self->Reset();
+            return;
+          }
+          self->Read();
+        });
+  }
+
+  void Whole(int status, const std::vector<http::header>& headers, std::string_view body) override {
+    std::string text = Head(status, headers);
+    text += fmt::format("Content-Length: {}\r\n\r\n", body.size());
+    text += body;
+    Write(text);
+    on_closed = nullptr;
+  }
+  void Begin(const std::vector<http::header>& headers) override {
+    Write(Head(200, headers) + "Transfer-Encoding: chunked\r\n\r\n");
+  }
+  void Part(std::string_view bytes) override {
+    Write(fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes));
+  }
+  void End() override {
+    Write("0\r\n\r\n");
+    on_closed = nullptr;
+  }
+  void Reset() override {
+    if (!closed_) {
+      asio::error_code ignored;
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+      socket_.close(ignored);
+      Closed();
+    }
+  }
+  bool closed() const override { return closed_; }
+
+ private:
+  void OnHead(http::message_head head) override { request_ = {std::move(head), {}}; }
+  void OnBody(std::string_view bytes) override { request_.body.append(bytes); }
+  void OnMessageEnd() override {
+    const incoming_request request = std::exchange(request_, {});
+    on_request_(request, shared_from_this());
+  }
+
+  static std::string Head(int status, const std::vector<http::header>& headers) {
+    std::string text = fmt::format("HTTP/1.1 {} Status\r\n", status);
+    for (const http::header& header : headers) {
+      text += fmt::format("{}: {}\r\n", header.name, header.value);
+    }
+    return text;
+  }
+
+  void Write(std::string text) {
+    unsent_ += text;
+    if (closed_ || !writing_.empty() || unsent_.empty()) {
+      return;
+    }
+    writing_.swap(unsent_);
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                        self->writing_.clear();
+                        if (!error) {
+                          self->Write({});
+                        }
+                      });
+  }
+
+  void Closed() {
+    closed_ = true;
+    if (const auto callback = std::exchange(on_closed, nullptr)) {
+      callback();
+    }
+  }
+
+  asio::ip::tcp::socket socket_;
+  const handler& on_request_;
+  http::message_reader reader_;
+  std::array<char, 8192> buffer_{};
+  incoming_request request_;
+  std::string unsent_;
+  std::string writing_;
+  bool closed_ = false;
+};
+
+http_service::http_service(asio::io_context& loop, handler on_request)
+    : loop_(loop),
+      acceptor_(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      on_request_(std::move(on_request)),
+      address_(fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port())) {
+  Accept();
+}
+
+http_service::~http_service() {
+  Close();
+}
+
+void http_service::Close() {
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& weak : std::exchange(connections_, {})) {
+    if (const auto open = weak.lock()) {
+      open->Reset();
+    }
+  }
+}
+
+void http_service::Reopen() {
+  const auto port = static_cast<std::uint16_t>(std::stoi(address_.substr(address_.rfind(':') + 1)));
+  const asio::ip::tcp::endpoint place(asio::ip::address_v4::loopback(), port);
+  acceptor_ = asio::ip::tcp::acceptor(loop_, place);
+  Accept();
+}
+
+void http_service::Accept() {
+  acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+    if (error) {
+      return;
+    }
+    const auto accepted = std::make_shared<connection>(std::move(socket), on_request_);
+    std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
+    connections_.push_back(accepted);
+    accepted->Read();
+    Accept();
+  });
+}
+
+}  // namespace tarragon::emulator
--- /dev/null
+++ b/tests/emulator/http_service.h
@@ -0,0 +1,78 @@
+#ifndef TARRAGON_TESTS_EMULATOR_HTTP_SERVICE_H_
+#define TARRAGON_TESTS_EMULATOR_HTTP_SERVICE_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "tarragon/http/header_list.h"
+#include "tarragon/http/message_reader.h"
+
+namespace tarragon::emulator {
+
+struct incoming_request {
+  http::message_head head;
+  std::string body;
+
+  /** @return the value of a header, or empty. */
+  std::string Header(std::string_view name) const;
+  /** @return the value of a query parameter without its escapes, or empty. */
+  std::string Query(std::string_view name) const;
+  std::string Path() const { return head.target.substr(0, head.target.find('?')); }
+};
+
+/** Gives the answer to one request. Calls after the connection has ended do nothing. */
+class responder {
+ public:
+  virtual ~responder() = default;
+  virtual void Whole(int status,
+                     const std::vector<http::header>& headers,
+                     std::string_view body) = 0;
+  /** Begins a chunked answer with status 200. */
+  virtual void Begin(const std::vector<http::header>& headers) = 0;
+  virtual void Part(std::string_view bytes) = 0;
+  virtual void End() = 0;
+  /** Resets the connection. */
+  virtual void Reset() = 0;
+  virtual bool closed() const = 0;
+  /** Called once if the peer ends the connection before the answer is complete. */
+  std::function<void()> on_closed;
+};
+
+using responder_ptr = std::shared_ptr<responder>;
+
+/** HTTP/1.1 server on a free port of loopback, on the loop's thread. */
+class http_service final {
+ public:
+  using handler = std::function<void(const incoming_request&, const responder_ptr&)>;
+
+  http_service(asio::io_context& loop, handler on_request);
+  ~http_service();
+
+  /** @return `ip:port`. */
+  std::string address() const { return address_; }
+
+  /** Refuses connections from now on and resets those that are open. */
+  void Close();
+  /** Listens again at the same address. */
+  void Reopen();
+
+ private:
+  class connection;
+
+  void Accept();
+
+  asio::io_context& loop_;
+  asio::ip::tcp::acceptor acceptor_;
+  handler on_request_;
+  std::string address_;
+  std::vector<std::weak_ptr<connection>> connections_;
+};
+
+}  // namespace tarragon::emulator
+
+#endif  // TARRAGON_TESTS_EMULATOR_HTTP_SERVICE_H_
