Do not count failed connects as sends of a request

The retry budget was asked as well, which counts arrivals behind the first one.

Change: failed connects have a bound of their own (16) and need no budget as long as the request has not arrived anywhere.

Ruled out: telling other daemons of endpoints that refuse connections, as each finds out within one round trip.

--- a/include/tarragon/gateway/request_flow.h
+++ b/include/tarragon/gateway/request_flow.h
@@ -111,8 +111,10 @@
 
   // Over all sends.
   int sends_ = 0;
-  /** Sends since the last event; a long stream may outlive any number of engines. */
+  /** Sends that arrived since the last event; a long stream may outlive any number of engines. */
   int fruitless_sends_ = 0;
+  /** Connects that failed since the last event. */
+  int failed_connects_ = 0;
   int runs_ = 0;
   run_verdict verdict_ = run_verdict::kNotRun;
   std::vector<std::string> excluded_;
--- a/include/tarragon/routing/recovery_planner.h
+++ b/include/tarragon/routing/recovery_planner.h
@@ -33,8 +33,10 @@
   /** Sends so far that may have run. */
   int runs = 0;
   int max_attempts = 1;
-  /** Sends of any outcome since the answer last made progress. */
+  /** Sends that reached an endpoint since the answer last made progress. */
   int sends = 0;
+  /** Connects that failed since the answer last made progress. */
+  int failed_connects = 0;
   /** Part of the answer has reached the caller. */
   bool answer_started = false;
   /** Another engine holds a copy of the generation's memory. */
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -196,7 +196,6 @@
                .unread_tokens = copy ? 0 : admitted_.size.prompt_tokens,
                .long_streams = is_long ? 1U : 0U}};
   ++sends_;
-  ++fruitless_sends_;
   sent_at_ = last_bytes_ = gateway_.time.Now();
   skipping_answer_ = false;
   streaming_ = false;
@@ -289,7 +288,7 @@
   NoteIntervals(events.size());
   if (first_of_send) {
     booking_.PromptRead();
-    fruitless_sends_ = 0;
+    fruitless_sends_ = failed_connects_ = 0;
   }
   if (!std::exchange(answer_started_, true)) {
     http::header_list headers = answer_.headers;
@@ -415,6 +414,7 @@
   progress.runs = runs_;
   progress.max_attempts = admitted_.rule->max_attempts;
   progress.sends = fruitless_sends_;
+  progress.failed_connects = failed_connects_;
   progress.answer_started = answer_started_;
   progress.has_copy = copies_->Has();
   progress.budget_left = gateway_.HasBudget(admitted_.service_name);
@@ -450,6 +450,7 @@
   if (verdict != run_verdict::kNotRun) {
     ++runs_;
   }
+  ++(failure == routing::send_failure::kConnectFailed ? failed_connects_ : fruitless_sends_);
   copies_->SendEnded();
   CloseExchange();
   booking_.Release();
--- a/src/routing/recovery_planner.cc
+++ b/src/routing/recovery_planner.cc
@@ -9,12 +9,20 @@
 /** Sends that no endpoint ran are bounded too, so that a broken service is not searched through. */
 constexpr int kMaxSends = 4;
 
+/**
+ * Failed connects put no load on an endpoint. While the store is silent engines that have ended
+ * stay in the list, up to a third of it on the users' days.
+ */
+constexpr int kMaxFailedConnects = 16;
+
 /** Below this a further send cannot be answered in time: two round trips and a short call. */
 constexpr std::chrono::milliseconds kMinTimeLeft{40};
 
 bool MaySendAgain(const request_progress& progress) {
-  return progress.sends < kMaxSends && progress.left >= kMinTimeLeft && progress.budget_left &&
-         !progress.suspect;
+  // The budget counts arrivals behind the first one of each request.
+  const bool within_budget = progress.budget_left || progress.sends == 0;
+  return progress.sends < kMaxSends && progress.failed_connects < kMaxFailedConnects &&
+         progress.left >= kMinTimeLeft && within_budget && !progress.suspect;
 }
 
 bool MayRunAgain(const request_progress& progress) {
--- a/tests/gateway/request_flow_test.cc
+++ b/tests/gateway/request_flow_test.cc
@@ -518,6 +518,24 @@
   EXPECT_TRUE(endpoint.connections.empty());
 }
 
+// Guards against refusing a request while an endpoint could run it: engines that have ended stay in
+// the list while the store is silent (lanhai-blast, inc-1483: refused after four failed connects in
+// 7 ms).
+TEST_F(request_flow_test, FailedConnectsAreNoReasonToRefuse) {
+  scripted_endpoint alive(loop, [](auto& c) { c.Send(Answer("200 OK", "fine")); });
+  for (int i = 0; i < 6; ++i) {
+    scripted_endpoint ended(loop, [](auto&) {});
+    List(fmt::format("e{}", i), "calls", ended.address());
+    ended.Close();
+  }
+  List("e9", "calls", alive.address());
+  gateway.endpoints.Find("e9")->own.requests = 3;  // the last choice
+  gateway.SetBudgetOptions({0, 0, std::chrono::seconds(10)});
+  const auto flow = Start("POST", "/unsafe/1", "b");
+  ASSERT_TRUE(RunUntil([&] { return sink.done(); }));
+  EXPECT_EQ(sink.status, 200);
+}
+
 // Guards against a request that crashes one endpoint after another.
 TEST_F(request_flow_test, RequestThatCrashesEndpointsIsRefused) {
   scripted_endpoint crashing(loop, [](auto& c) { c.Reset(); });
