Split the request's life: bytes for the endpoint and the stream's position

The flow of a request held the building of the request for an endpoint and the bookkeeping of a stream beside its decisions.

--- a/include/tarragon/gateway/request_flow.h
+++ b/include/tarragon/gateway/request_flow.h
@@ -19,7 +19,7 @@
 #include "tarragon/gateway/generation_copies.h"
 #include "tarragon/gateway/http_exchange.h"
 #include "tarragon/gateway/request_admission.h"
-#include "tarragon/http/event_splitter.h"
+#include "tarragon/gateway/stream_progress.h"
 #include "tarragon/http/message_reader.h"
 #include "tarragon/routing/load_booking.h"
 #include "tarragon/routing/recovery_planner.h"
@@ -55,14 +55,14 @@
   void Dispatch();
   /** @param copy to go on from; empty sends the request as it came. */
   void SendTo(const routing::endpoint_ptr& target, const std::optional<copy_place>& copy);
-  std::string WireRequest(const std::optional<copy_place>& copy, const std::string& backup_address);
   routing::pick_request PickRequest() const;
 
   bool IsAnswerToThis(const http::message_head& head) const;
   void TakeStreamBytes(std::string_view bytes);
-  void TakeEvents(const std::vector<http::raw_event>& events);
-  /** Learns from the time since the events before; `events` arrived together. */
-  void NoteIntervals(std::size_t events);
+  /** Sends the head of a streamed answer unless the caller has it. */
+  void BeginAnswer();
+  /** Learns from the time since the events before. */
+  void NoteArrival(const event_batch& batch);
   /** The first event of a stream that goes on at another engine. */
   void NoteResumed(duration pause);
   void FinishBuffered();
@@ -107,7 +107,6 @@
   bool streaming_ = false;
   http::message_head answer_;
   std::string answer_body_;
-  http::event_splitter splitter_;
 
   // Over all sends.
   int sends_ = 0;
@@ -119,12 +118,7 @@
   run_verdict verdict_ = run_verdict::kNotRun;
   std::vector<std::string> excluded_;
   bool answer_started_ = false;
-  bool first_event_seen_ = false;
-  std::optional<std::uint64_t> last_event_;
-  std::uint64_t events_sent_ = 0;
-  std::uint64_t events_in_send_ = 0;
-  time_point last_event_at_;
-  duration longest_pause_{0};
+  stream_progress stream_;
   std::chrono::milliseconds first_event_after_{0};
   /** Set once the request has been accepted. */
   std::unique_ptr<generation_copies> copies_;
--- a/src/gateway/request_flow.cc
+++ b/src/gateway/request_flow.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "tarragon/base/invariant.h"
+#include "tarragon/gateway/endpoint_request.h"
 
 namespace tarragon::gateway {
 
@@ -94,7 +95,7 @@
     return;
   }
   admitted_ = std::get<admitted_request>(std::move(decided));
-  last_event_ = admitted_.last_event;
+  stream_.StartBehind(admitted_.last_event);
   copies_ = std::make_unique<generation_copies>(gateway_, id_);
   gateway_.Budget(admitted_.service_name).RecordRequest(gateway_.time.Now());
   Dispatch();
@@ -149,40 +150,6 @@
                                         {"left_ms", Left().count()}});
 }
 
-std::string request_flow::WireRequest(const std::optional<copy_place>& copy,
-                                      const std::string& backup_address) {
-  const header_names& names = gateway_.adapter.names();
-  http::header_list headers = request_.head.headers;
-  headers.RemoveHopByHop();
-  headers.Remove("Expect");
-  headers.Remove(names.credentials);
-  std::ranges::for_each(names.reserved, [&](const std::string& name) { headers.Remove(name); });
-  headers.Set(names.deadline, std::to_string(Left().count()));
-  headers.Set(names.expected_endpoint, target_->entry.id);
-  if (!admitted_.account.empty()) {
-    headers.Set(names.account, admitted_.account);
-  }
-  if (last_event_) {
-    headers.Set(names.last_event_id, std::to_string(*last_event_));
-  }
-  if (copy) {
-    headers.Set(names.memory_copy, copy->reference);
-  }
-  if (!backup_address.empty()) {
-    headers.Set(names.backup_engine, backup_address);
-  }
-  std::string wire = fmt::format("{} {} HTTP/1.1\r\n", request_.head.method, request_.head.target);
-  headers.AppendTo(wire);
-  const bool has_length = request_.head.headers.Find("Content-Length") != nullptr;
-  if (!request_.body.empty() || has_length ||
-      request_.head.headers.Find("Transfer-Encoding") != nullptr) {
-    wire += fmt::format("Content-Length: {}\r\n", request_.body.size());
-  }
-  wire += "\r\n";
-  wire += request_.body;
-  return wire;
-}
-
 void request_flow::SendTo(const routing::endpoint_ptr& target,
                           const std::optional<copy_place>& copy) {
   TARRAGON_INVARIANT(!exchange_, "one send at a time");
@@ -199,14 +166,20 @@
   sent_at_ = last_bytes_ = gateway_.time.Now();
   skipping_answer_ = false;
   streaming_ = false;
-  events_in_send_ = 0;
   answer_body_.clear();
-  splitter_ = {};
-  const std::string backup_address = admitted_.rule->kind == routing::repeat_kind::kStream
-                                         ? copies_->Begin(target, PickRequest())
-                                         : "";
+  stream_.BeginSend();
+  send_parts parts{.endpoint_id = target->entry.id,
+                   .left = Left(),
+                   .account = admitted_.account,
+                   .last_event = stream_.last_event(),
+                   .memory_copy = copy ? copy->reference : "",
+                   .backup_address = {}};
+  if (admitted_.rule->kind == routing::repeat_kind::kStream) {
+    parts.backup_address = copies_->Begin(target, PickRequest());
+  }
   exchange_ = std::make_shared<http_exchange>(gateway_.loop, *this);
-  exchange_->Start(target->entry.address, WireRequest(copy, backup_address),
+  exchange_->Start(target->entry.address,
+                   EndpointRequest(gateway_.adapter.names(), request_, parts),
                    request_.head.method == "HEAD");
   if (gateway_.on_load_added) {
     gateway_.on_load_added();
@@ -259,68 +232,51 @@
 }
 
 void request_flow::TakeStreamBytes(std::string_view bytes) {
-  std::vector<http::raw_event> events;
-  if (!splitter_.Feed(bytes, events)) {
+  const std::optional<event_batch> batch = stream_.Feed(bytes);
+  if (!batch) {
     SendFailed(routing::send_failure::kBadAnswer, run_verdict::kMayHaveRun);
     return;
   }
-  if (!events.empty()) {
-    TakeEvents(events);
-  }
-}
-
-void request_flow::TakeEvents(const std::vector<http::raw_event>& events) {
-  std::string part;
-  for (const http::raw_event& event : events) {
-    if (event.id && last_event_ && *event.id <= *last_event_) {
-      continue;
-    }
-    if (event.id) {
-      last_event_ = event.id;
-    }
-    ++events_sent_;
-    part += event.bytes;
-  }
-  if (part.empty()) {
+  if (batch->bytes.empty()) {
     return;
   }
-  const bool first_of_send = events_in_send_ == 0;
-  NoteIntervals(events.size());
+  const bool first_of_send = stream_.awaits_first_of_send();
+  NoteArrival(*batch);
   if (first_of_send) {
     booking_.PromptRead();
     fruitless_sends_ = failed_connects_ = 0;
   }
-  if (!std::exchange(answer_started_, true)) {
-    http::header_list headers = answer_.headers;
-    headers.RemoveHopByHop();
-    sink_->BeginStream(answer_.status, std::move(headers));
-  }
+  BeginAnswer();
   if (sink_ != nullptr) {
-    sink_->SendPart(part);
+    sink_->SendPart(batch->bytes);
   }
   if (first_of_send) {
     copies_->RunBegan();
   }
 }
 
-void request_flow::NoteIntervals(std::size_t events) {
+void request_flow::BeginAnswer() {
+  if (!std::exchange(answer_started_, true)) {
+    http::header_list headers = answer_.headers;
+    headers.RemoveHopByHop();
+    sink_->BeginStream(answer_.status, std::move(headers));
+  }
+}
+
+void request_flow::NoteArrival(const event_batch& batch) {
   const time_point now = gateway_.time.Now();
-  if (!std::exchange(first_event_seen_, true)) {
+  const bool first_of_send = stream_.awaits_first_of_send();
+  const std::optional<duration> interval = stream_.NoteArrival(now, batch);
+  if (!interval) {
     first_event_after_ = Age();
     gateway_.counters.Latency("tarragon_gateway_first_event_seconds")
         .Record(now - request_.received);
+  } else if (first_of_send) {
+    NoteResumed(*interval);
   } else {
-    const duration interval = now - last_event_at_;
-    longest_pause_ = std::max(longest_pause_, interval);
-    if (events_in_send_ == 0) {
-      NoteResumed(interval);
-    } else {
-      target_->pace.Record(now, interval / static_cast<std::int64_t>(events),
-                           target_->own.requests + target_->others.requests);
-    }
+    target_->pace.Record(now, *interval / static_cast<std::int64_t>(batch.events),
+                         target_->own.requests + target_->others.requests);
   }
-  last_event_at_ = now;
-  events_in_send_ += events;
 }
 
 void request_flow::NoteResumed(duration pause) {
@@ -348,17 +304,13 @@
     FinishBuffered();
     return;
   }
-  if (splitter_.has_partial_event()) {
+  if (stream_.ends_inside_event()) {
     SendFailed(routing::send_failure::kLost, run_verdict::kMayHaveRun);
     return;
   }
   target_->failures = 0;
   gateway_.suspects.RecordCompleted(admitted_.content);
-  if (!std::exchange(answer_started_, true)) {
-    http::header_list headers = answer_.headers;
-    headers.RemoveHopByHop();
-    sink_->BeginStream(answer_.status, std::move(headers));
-  }
+  BeginAnswer();
   sink_->EndStream();
   Finish("completed");
 }
@@ -460,7 +412,7 @@
                                        {"cause", NameOf(failure)},
                                        {"status", answer_.status},
                                        {"verdict", ToString(verdict_)},
-                                       {"events", events_sent_},
+                                       {"events", stream_.events_sent()},
                                        {"copies", copies_->Names()},
                                        {"leaving", target_->leaving},
                                        {"next", std::visit(step_name{}, step)},
@@ -507,7 +459,7 @@
   gateway_.log.Request("request_continued", {{"request", id_},
                                              {"endpoint", place->endpoint_id},
                                              {"copy", place->reference},
-                                             {"after_event", last_event_.value_or(0)},
+                                             {"after_event", stream_.last_event().value_or(0)},
                                              {"age_ms", Age().count()}});
 }
 
@@ -591,10 +543,10 @@
        {"status", answer_.status},
        {"endpoint", target_ ? target_->entry.id : std::string("-")},
        {"sends", sends_},
-       {"events", events_sent_},
+       {"events", stream_.events_sent()},
        {"first_event_ms", first_event_after_.count()},
        {"longest_pause_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(longest_pause_).count()},
+        std::chrono::duration_cast<std::chrono::milliseconds>(stream_.longest_pause()).count()},
        {"age_ms", Age().count()}});
   if (gateway_.on_idle) {
     gateway_.on_idle();
@@ -635,8 +587,8 @@
   if (!admitted_.rule->resumable || !may_run_again) {
     return std::nullopt;
   }
-  return first_event_seen_ ? last_bytes_ + kStreamSilence
-                           : sent_at_ + 2 * admitted_.rule->latency_objective;
+  return stream_.has_begun() ? last_bytes_ + kStreamSilence
+                             : sent_at_ + 2 * admitted_.rule->latency_objective;
 }
 
 void request_flow::ArmTimer() {
--- /dev/null
+++ b/tests/gateway/endpoint_request_test.cc
@@ -0,0 +1,71 @@
+#include "tarragon/gateway/endpoint_request.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "table_platform.h"
+
+namespace tarragon::gateway {
+namespace {
+
+using testing::EndsWith;
+using testing::HasSubstr;
+using testing::Not;
+using testing::StartsWith;
+
+caller_request Request(std::vector<http::header> headers, std::string body = {}) {
+  caller_request request;
+  request.head.method = "POST";
+  request.head.target = "/a?b=1";
+  for (http::header& header : headers) {
+    request.head.headers.Add(std::move(header.name), std::move(header.value));
+  }
+  request.body = std::move(body);
+  return request;
+}
+
+class endpoint_request_test : public testing::Test {
+ protected:
+  std::string Wire(const caller_request& request) const {
+    return EndpointRequest(adapter.names(), request, parts);
+  }
+  platform::table_platform adapter;
+  send_parts parts{.endpoint_id = "e1",
+                   .left = std::chrono::milliseconds(700),
+                   .account = "shop",
+                   .last_event = {},
+                   .memory_copy = {},
+                   .backup_address = {}};
+};
+
+// Guards against a caller that sets what is the gateway's to set.
+TEST_F(endpoint_request_test, ReservedHeadersOfTheCallerAreRemoved) {
+  const std::string wire =
+      Wire(Request({{"Kv-From", "x/1"}, {"Pin-Ms", "9"}, {"Tenant", "other"}}));
+  EXPECT_THAT(wire, StartsWith("POST /a?b=1 HTTP/1.1\r\n"));
+  EXPECT_THAT(wire, Not(HasSubstr("Kv-From")));
+  EXPECT_THAT(wire, Not(HasSubstr("Pin-Ms")));
+  EXPECT_THAT(wire, HasSubstr("Tenant: shop\r\n"));
+  EXPECT_THAT(wire, HasSubstr("Deadline-Ms: 700\r\n"));
+}
+
+// Guards against an endpoint that waits for a body, or takes the next bytes for one.
+TEST_F(endpoint_request_test, BodyHasItsLength) {
+  EXPECT_THAT(Wire(Request({{"Transfer-Encoding", "chunked"}}, "abc")),
+              EndsWith("Content-Length: 3\r\n\r\nabc"));
+  EXPECT_THAT(Wire(Request({{"Content-Length", "0"}})), HasSubstr("Content-Length: 0\r\n"));
+  EXPECT_THAT(Wire(Request({})), Not(HasSubstr("Content-Length")));
+}
+
+TEST_F(endpoint_request_test, ContinuedStreamNamesItsCopy) {
+  parts.last_event = 7;
+  parts.memory_copy = "10.0.0.1:80/h";
+  parts.backup_address = "10.0.0.2:80";
+  const std::string wire = Wire(Request({}));
+  EXPECT_THAT(wire, HasSubstr("Last-Event-Id: 7\r\n"));
+  EXPECT_THAT(wire, HasSubstr("Kv-From: 10.0.0.1:80/h\r\n"));
+  EXPECT_THAT(wire, HasSubstr("Kv-Backup: 10.0.0.2:80\r\n"));
+}
+
+}  // namespace
+}  // namespace tarragon::gateway
