--- a/tests/emulator/http_service.cc
+++ b/tests/emulator/http_service.cc
@@ -124,7 +124,7 @@
     return text;
   }
 
-  void Write(std::string text) {
+  void Write(const std::string& text) {
     unsent_ += text;
     if (closed_ || !writing_.empty() || unsent_.empty()) {
       return;
