Give gateways under test ports that no connection takes

Ports from the range that the system gives to connections can be taken between the search and the start of the gateway when tests run side by side. The ports now lie below it, and each test process begins at its own place.

--- a/tests/emulator/gateway_child.cc
+++ b/tests/emulator/gateway_child.cc
@@ -4,11 +4,13 @@
 #include <fmt/format.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <csignal>
+#include <cstdint>
 #include <fstream>
 #include <utility>
 #include <vector>
@@ -19,15 +21,25 @@
 
 namespace {
 
-/** @return addresses of loopback with ports that are free now, all different. */
+/**
+ * @return addresses of loopback with ports that are free now. They lie below the ports that the
+ *     system gives to connections, and each test process begins at its own place.
+ */
 std::vector<std::string> FreeAddresses(std::size_t count) {
+  constexpr unsigned kFirstPort = 10'000;
+  constexpr unsigned kPorts = 10'000;
+  constexpr unsigned kPortsOfAProcess = 97;
+  static unsigned next = static_cast<unsigned>(::getpid()) * kPortsOfAProcess;
   asio::io_context loop;
-  std::vector<asio::ip::tcp::acceptor> held;
   std::vector<std::string> addresses;
-  for (std::size_t i = 0; i < count; ++i) {
-    const asio::ip::tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
-    held.emplace_back(loop, any);
-    addresses.push_back(fmt::format("127.0.0.1:{}", held.back().local_endpoint().port()));
+  while (addresses.size() < count) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    asio::ip::tcp::acceptor probe(loop, asio::ip::tcp::v4());
+    asio::error_code taken;
+    probe.bind({asio::ip::address_v4::loopback(), port}, taken);
+    if (!taken) {
+      addresses.push_back(fmt::format("127.0.0.1:{}", port));
+    }
   }
   return addresses;
 }
