--- a/include/tarragon/gateway/generation_copies.h
+++ b/include/tarragon/gateway/generation_copies.h
@@ -26,8 +26,8 @@
 /**
  * Keeps copies of one generation's memory at other engines, and decides which are worth their room:
  * a backup that the engine keeps in step from the start, and, if the engine leaves when no backup
- * is left, a standby copy. A generation stays where it is until its engine ends, and then goes on
- * from a copy after one round trip.
+ * is left or the backup's engine pauses too long, a standby copy. A generation stays where it is
+ * until its engine ends, and then goes on from a copy after one round trip.
  */
 class generation_copies final : public standby_listener {
  public:
@@ -67,11 +67,11 @@
   void OnCopyFailed(std::string_view reason) override;
 
   bool WantsCopies() const;
-  /** Begins a standby copy if the generation has none to go on from and its engine leaves. */
+  /** Begins a standby copy if the engine leaves and the generation has no good copy. */
   void EnsureCopy();
+  void EnsureCopyAfter(duration wait);
   void StartStandby();
   void StopStandby();
-  void EnsureCopyAfter(duration wait);
   void DropStandby();
   /** @return whether the generation is likely to pause too long at that engine. */
   bool PausesTooLong(const std::string& endpoint_id) const;
