--- a/tests/routing/endpoint_picker_test.cc
+++ b/tests/routing/endpoint_picker_test.cc
@@ -148,7 +148,7 @@
   WantLong();
   std::map<std::string, int> counts;
   constexpr std::uint64_t kDraws = 600;
-  constexpr std::uint64_t kStep = 6 * 34000 / kDraws;
+  constexpr std::uint64_t kStep = std::uint64_t{6} * 34000 / kDraws;
   for (std::uint64_t i = 0; i < kDraws; ++i) {
     ++counts[ChosenFor(copy_purpose::kBackup, i * kStep)];
   }
