--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -44,9 +44,15 @@
   double ms_pause_missed = 1400;
   /** Added for a long stream where that is not known yet; a third of some fleets is slow. */
   double ms_pause_unknown = 600;
-  /** Added for each long stream at an engine that pauses too long while it reads a prompt. */
+  /**
+   * Added for each long stream at an engine that pauses too long while it reads a prompt. Reading
+   * one takes 300 to 600 ms, and a slow moment falls into it about every second time.
+   */
   double ms_disturbed_stream = 250;
-  /** Added for other work at engines that suit long streams: the reading of a short prompt. */
+  /**
+   * Added for other work at engines that suit long streams: the time in which such an engine reads
+   * half a short prompt, so that it is used once the others have a queue.
+   */
   double ms_kept_for_long = 100;
   /** Outputs from this length on are long: the chance of a long pause grows with the events. */
   std::uint32_t long_output_tokens = 120;
@@ -54,9 +60,11 @@
   double ms_plain_call = 60;
   /** Weight of engines in the preferred failure domain. */
   std::uint64_t preferred_domain_weight = 4;
-  /** Weight of engines that do not suit long streams as places of backups. */
+  /** Weight of engines that do not suit long streams as places of backups: as strong as the wish
+   * for the same failure domain. */
   std::uint64_t backup_weight = 4;
-  /** Share of the weight that an engine of unknown pauses has as the place of a standby copy. */
+  /** Divides the weight of an engine of unknown pauses as the place of a standby copy: a third of
+   * some fleets is slow. */
   std::uint64_t unknown_pause_divisor = 4;
   /** Share of an engine's memory that predicted needs may fill before it counts as full. */
   double memory_share = 0.95;
--- a/include/tarragon/routing/slowness_tracker.h
+++ b/include/tarragon/routing/slowness_tracker.h
@@ -8,9 +8,9 @@
 namespace tarragon::routing {
 
 /**
- * How long work takes at an endpoint, relative to the usual of the service, by the endpoint's own
- * word. Neighbours on its machine slow it for some hundred milliseconds; the least value of the
- * last seconds is the speed of the machine itself.
+ * How long work takes at an endpoint relative to the usual of the service, as the endpoint reports
+ * it in its answers. Neighbours on its machine slow it for some hundred milliseconds; the least
+ * value of the last seconds is the speed of the machine itself.
  */
 class slowness_tracker final {
  public:
@@ -20,7 +20,7 @@
   /** Takes the least value that other daemons have seen; empty if they have seen none. */
   void LearnLeast(std::optional<double> least) { told_least_ = least; }
 
-  /** @return the last word, or 1 if it is older than `kMemory`. */
+  /** @return the last reported value, or 1 if it is older than `kMemory`. */
   double Current(time_point now) const;
 
   /** @return the least value that this daemon has seen of late; empty if none. */
--- a/tests/routing/pause_predictor_test.cc
+++ b/tests/routing/pause_predictor_test.cc
@@ -47,8 +47,8 @@
   EXPECT_FALSE(PassesPause(fast, milliseconds(180)));
 }
 
-// Guards against trusting an engine that calls itself usual and is slow.
-TEST_F(pause_predictor_test, SettledPaceGoesBeforeTheEnginesWord) {
+// Guards against trusting the report of an engine whose streams are slow.
+TEST_F(pause_predictor_test, SettledPaceGoesBeforeReportedSlowness) {
   AddKnown(milliseconds(28), 1.0);
   AddKnown(milliseconds(28), 1.0);
   EXPECT_TRUE(PassesPause(AddKnown(milliseconds(40), 1.0), milliseconds(180)));
--- a/tests/routing/slowness_tracker_test.cc
+++ b/tests/routing/slowness_tracker_test.cc
@@ -35,15 +35,15 @@
   EXPECT_EQ(slowness.Least(), 4.0);
 }
 
-// Guards against a stale word that keeps an endpoint out of use.
-TEST(SlownessTrackerTest, OldWordIsForgotten) {
+// Guards against a stale report that keeps an endpoint out of use.
+TEST(SlownessTrackerTest, OldReportIsForgotten) {
   slowness_tracker slowness;
   const time_point now{seconds(5)};
   slowness.Record(now, 9);
   EXPECT_EQ(slowness.Current(now + seconds(1)), 1.0);
 }
 
-// Guards against daemons that keep each other's word alive: only own values are passed on.
+// Guards against daemons that pass a value to and fro for ever: only own values are passed on.
 TEST(SlownessTrackerTest, ToldValuesAreNotOwn) {
   slowness_tracker slowness;
   slowness.LearnLeast(1.3);
