--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -3,8 +3,11 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <utility>
 
 namespace tarragon::emulator {
@@ -38,6 +41,15 @@
           {"tenants", {{{"name", "shop"}, {"api-keys", {"key"}}}}}};
 }
 
+/** Prints what is left of a gateway that does not serve, since its folder goes with the test. */
+void ReportSilence(gateway_child& silent) {
+  const bool ended = silent.HasEnded();
+  const std::ifstream log(silent.log_file());
+  fmt::print(stderr, "gateway at {} does not serve; ended: {}, status {}; its log:\n{}\n",
+             silent.callers_address(), ended, silent.exit_status(),
+             (std::ostringstream() << log.rdbuf()).str());
+}
+
 }  // namespace
 
 fleet_emulator::fleet_emulator(fleet_options options) : options_(options), random_(options.seed) {
@@ -159,6 +171,7 @@
         },
         kLimit);
     if (!serves) {
+      ReportSilence(*gateways_[i]);
       return false;
     }
   }
