--- a/include/tarragon/gateway/config_updater.h
+++ b/include/tarragon/gateway/config_updater.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "tarragon/gateway/gateway_state.h"
-#include "tarragon/gateway/table_watcher.h"
+#include "tarragon/gateway/table_listener.h"
 
 namespace tarragon::gateway {
 
@@ -14,8 +14,8 @@
  public:
   explicit config_updater(gateway_state& gateway) : gateway_(gateway) {}
 
-  void OnTable(const std::vector<table_row>& rows, std::uint64_t version) override;
-  void OnChanges(const std::vector<table_row>& rows) override;
+  void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
+  void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
   void OnStoreRegained() override;
 
--- a/include/tarragon/gateway/daemon_table.h
+++ b/include/tarragon/gateway/daemon_table.h
@@ -6,28 +6,30 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
-#include <set>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "tarragon/gateway/gateway_state.h"
 #include "tarragon/gateway/store_channel.h"
-#include "tarragon/gateway/table_watcher.h"
+#include "tarragon/gateway/table_listener.h"
+#include "tarragon/routing/relay_plan.h"
 
 namespace tarragon::gateway {
 
 /**
  * Peer discovery of the gateway daemons: each daemon writes a row with its peer address to the
  * store. Rows are keyed by address, so that a restarted process adds no second row. Rows of removed
- * VMs stay; they only reduce each daemon's share of the retry budget.
+ * VMs stay; they reduce each daemon's share of the retry budget, and those who would follow them
+ * in the relay tree try them now and then.
  */
 class daemon_table final : public table_listener {
  public:
   /** Table in the store; only the gateway daemons use it. */
   static constexpr std::string_view kTable = "daemons";
 
-  using listener = std::function<void(const std::vector<std::string>& other_addresses)>;
+  using listener = std::function<void(const std::vector<routing::relay_member>& others)>;
 
   daemon_table(asio::io_context& loop,
                gateway_state& gateway,
@@ -39,8 +41,8 @@
   void Register();
   void Stop() { timer_.cancel(); }
 
-  void OnTable(const std::vector<table_row>& rows, std::uint64_t version) override;
-  void OnChanges(const std::vector<table_row>& rows) override;
+  void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
+  void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
   void OnStoreRegained() override;
 
@@ -48,14 +50,15 @@
   /** Delay before a failed write of the row is retried. */
   static constexpr std::chrono::milliseconds kRegisterRetryDelay{700};
 
-  void OnAddressesChanged();
+  void OnMembersChanged();
 
   gateway_state& gateway_;
   store_channel& channel_;
   std::string own_address_;
   listener on_change_;
   asio::steady_timer timer_;
-  std::set<std::string> addresses_;
+  /** Failure domain of each daemon, by address; empty if its row does not tell. */
+  std::map<std::string, std::string> domains_;
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -21,6 +21,7 @@
 #include "tarragon/routing/endpoint_registry.h"
 #include "tarragon/routing/send_budget.h"
 #include "tarragon/routing/service_config.h"
+#include "tarragon/routing/store_clock.h"
 
 namespace tarragon::gateway {
 
@@ -61,6 +62,7 @@
   /** Null until the first configuration has been read. */
   routing::service_config_ptr config;
   routing::endpoint_registry endpoints;
+  routing::store_clock store_time;
   routing::endpoint_picker picker;
   policy::crash_suspects suspects;
   std::mt19937_64 random;
--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -77,6 +77,8 @@
   std::vector<table_row> rows;
   /** The store's newest version at the time of the response. */
   std::uint64_t version = 0;
+  /** The store's steady clock at the time of the response; zero if the response lacks it. */
+  std::chrono::milliseconds store_time{0};
   /** The table has more rows after this page. */
   bool more = false;
 };
--- /dev/null
+++ b/include/tarragon/gateway/relay_message.h
@@ -0,0 +1,55 @@
+#ifndef TARRAGON_GATEWAY_RELAY_MESSAGE_H_
+#define TARRAGON_GATEWAY_RELAY_MESSAGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "tarragon/gateway/table_replica.h"
+
+namespace tarragon::gateway {
+
+/** First message of a follower. */
+struct relay_subscription {
+  std::string vm;
+  /** Version of each table that the follower has; 0 if none. */
+  std::vector<std::uint64_t> versions;
+};
+
+/** Message of a source: an update of one table. */
+struct relay_update {
+  std::uint8_t table = 0;
+  /** The source's last call to the store failed, or its own source said so. */
+  bool store_lost = false;
+  table_update update;
+};
+
+using relay_message = std::variant<relay_subscription, relay_update>;
+
+/** Bytes of a frame before its payload: length and checksum. */
+inline constexpr std::size_t kFrameHeaderBytes = 12;
+/** Longer frames are rejected; a table of 5,000 endpoints has about 2 MB. */
+inline constexpr std::size_t kMaxFramePayload = std::size_t{8} << 20;
+
+/** @return the message as one frame. */
+std::string EncodeFrame(const relay_message& message);
+
+/** Splits the bytes of a connection into messages. */
+class relay_frame_reader final {
+ public:
+  /**
+   * Appends the complete messages in `bytes` and earlier bytes to `messages`.
+   * @return false if the bytes are not frames; the connection is then useless.
+   */
+  bool Feed(std::string_view bytes, std::vector<relay_message>& messages);
+
+ private:
+  std::string buffer_;
+};
+
+}  // namespace tarragon::gateway
+
+#endif  // TARRAGON_GATEWAY_RELAY_MESSAGE_H_
--- /dev/null
+++ b/include/tarragon/gateway/relay_node.h
@@ -0,0 +1,104 @@
+#ifndef TARRAGON_GATEWAY_RELAY_NODE_H_
+#define TARRAGON_GATEWAY_RELAY_NODE_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tarragon/gateway/gateway_state.h"
+#include "tarragon/gateway/relay_connection.h"
+#include "tarragon/gateway/table_replica.h"
+#include "tarragon/gateway/table_watcher.h"
+#include "tarragon/routing/relay_plan.h"
+#include "tarragon/routing/source_selector.h"
+
+namespace tarragon::gateway {
+
+/** A table of the store that daemons relay to one another. */
+struct relayed_table {
+  std::string name;
+  table_replica& replica;
+  table_watcher& watcher;
+  /** The daemon is ready once it has the table, and changes must reach it in time. */
+  bool essential = true;
+};
+
+/**
+ * Keeps the replicas of the store's tables up to date, from another daemon or from the store as the
+ * source selector decides, and relays them to the daemons that follow this one.
+ */
+class relay_node final : public relay_connection_listener {
+ public:
+  relay_node(gateway_state& gateway, std::vector<relayed_table> tables, std::uint64_t seed);
+  ~relay_node() override;
+
+  /** @param address `ip:port` to accept followers on. @return false if it cannot be bound. */
+  bool Open(const std::string& address);
+
+  /** Starts to read or to follow. A node without `Open` and members reads the store. */
+  void Start();
+
+  /** Sets the daemons of the fleet. */
+  void SetMembers(const std::vector<routing::relay_member>& members);
+
+  /** Called when a replica has changed or its position was confirmed. */
+  void OnReplicaChanged(std::size_t table);
+
+ private:
+  static constexpr std::chrono::milliseconds kTickInterval{100};
+  /** Further followers are turned away; they choose another source. */
+  static constexpr std::size_t kMaxFollowers = 64;
+
+  struct follower {
+    std::shared_ptr<relay_connection> connection;
+    std::string vm;
+    /** Version of each table that the follower has after what was sent; empty until subscribed. */
+    std::vector<std::uint64_t> sent;
+    /** Tables with news that wait for the write in progress. */
+    std::vector<bool> pending;
+  };
+
+  // relay_connection_listener:
+  void OnRelayMessage(relay_connection& connection, relay_message message) override;
+  void OnRelayWritten(relay_connection& connection) override;
+  void OnRelayClosed(relay_connection& connection) override;
+
+  void Accept();
+  void ScheduleTick();
+  void Update();
+  routing::source_view View() const;
+  void Reconcile();
+  void OpenLink(const std::string& address);
+  void CloseLink();
+  void SetReading(bool reads_store);
+  void OnUpdate(relay_update message);
+  void OnSubscription(relay_connection& connection, relay_subscription message);
+  void PushTo(follower& target, std::size_t table);
+  void PushPending(follower& target);
+  void ReportRelayedOutage();
+
+  gateway_state& gateway_;
+  std::vector<relayed_table> tables_;
+  routing::source_selector selector_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer timer_;
+  std::string own_address_;
+  bool reading_ = false;
+  std::shared_ptr<relay_connection> link_;
+  std::string link_address_;
+  /** Store time of the newest confirmation of each table received over the link. */
+  std::vector<std::optional<std::chrono::milliseconds>> link_store_times_;
+  bool source_lost_store_ = false;
+  std::map<const relay_connection*, follower> followers_;
+};
+
+}  // namespace tarragon::gateway
+
+#endif  // TARRAGON_GATEWAY_RELAY_NODE_H_
--- a/include/tarragon/gateway/store_channel.h
+++ b/include/tarragon/gateway/store_channel.h
@@ -30,6 +30,9 @@
    *     `kUnknownOutcome` if the store may have executed it. Not invoked from within `Call`.
    */
   virtual void Call(service_call call, std::chrono::milliseconds timeout, callback done) = 0;
+
+  /** Abandons the pending call, if any; its callback is not invoked. */
+  virtual void Cancel() = 0;
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/gateway/store_connection.h
+++ b/include/tarragon/gateway/store_connection.h
@@ -29,8 +29,8 @@
 
   void Call(service_call call, std::chrono::milliseconds timeout, callback done) override;
 
-  /** Closes the connection; the pending callback is not invoked. */
-  void Close();
+  /** Closes the connection, so that a late response is not taken for that of the next call. */
+  void Cancel() override;
 
  private:
   static constexpr std::size_t kReadBytes = 16384;
@@ -57,6 +57,8 @@
   std::array<char, kReadBytes> buffer_{};
   /** Changes with each connect and disconnect; handlers of older connections are ignored. */
   std::uint64_t connection_number_ = 0;
+  /** Changes with each call and cancellation; the results of older calls are dropped. */
+  std::uint64_t call_number_ = 0;
   bool connected_ = false;
   bool keep_alive_ = true;
   bool sent_ = false;
--- /dev/null
+++ b/include/tarragon/gateway/table_listener.h
@@ -0,0 +1,38 @@
+#ifndef TARRAGON_GATEWAY_TABLE_LISTENER_H_
+#define TARRAGON_GATEWAY_TABLE_LISTENER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "tarragon/gateway/platform_adapter.h"
+
+namespace tarragon::gateway {
+
+/** State of a table that the store has confirmed as its newest. */
+struct table_position {
+  /** The store's newest version at the time of the confirmation. */
+  std::uint64_t version = 0;
+  /** Time of the confirmation on the store's steady clock. */
+  std::chrono::milliseconds store_time{0};
+};
+
+/** Receives the contents of a table. */
+class table_listener {
+ public:
+  virtual ~table_listener() = default;
+  /** The complete table. */
+  virtual void OnTable(const std::vector<table_row>& rows, const table_position& position) = 0;
+  /**
+   * Rows that were written or deleted since the previous call, in the order of the changes; empty
+   * if the store has only confirmed that there are none.
+   */
+  virtual void OnChanges(const std::vector<table_row>& rows, const table_position& position) = 0;
+  virtual void OnStoreLost(std::string_view reason) = 0;
+  virtual void OnStoreRegained() = 0;
+};
+
+}  // namespace tarragon::gateway
+
+#endif  // TARRAGON_GATEWAY_TABLE_LISTENER_H_
--- a/include/tarragon/gateway/table_watcher.h
+++ b/include/tarragon/gateway/table_watcher.h
@@ -12,21 +12,10 @@
 
 #include "tarragon/gateway/platform_adapter.h"
 #include "tarragon/gateway/store_channel.h"
+#include "tarragon/gateway/table_listener.h"
 
 namespace tarragon::gateway {
 
-/** Receives the contents of a table. */
-class table_listener {
- public:
-  virtual ~table_listener() = default;
-  /** The complete table as of `version`. */
-  virtual void OnTable(const std::vector<table_row>& rows, std::uint64_t version) = 0;
-  /** Rows that were written or deleted, in the order of the changes. */
-  virtual void OnChanges(const std::vector<table_row>& rows) = 0;
-  virtual void OnStoreLost(std::string_view reason) = 0;
-  virtual void OnStoreRegained() = 0;
-};
-
 struct watch_options {
   /**
    * Longest wait of one feed call at the store. A call made before a store outage must time out
@@ -44,6 +33,12 @@
   std::chrono::milliseconds stale_read_delay{400};
 };
 
+/** The options of a watch that depend on how many daemons read the store. */
+struct watch_pace {
+  std::chrono::milliseconds wait{3000};
+  std::chrono::milliseconds max_backoff{800};
+};
+
 /** Reads a table and watches its changes; resynchronizes when the store has dropped history. */
 class table_watcher final {
  public:
@@ -55,8 +50,17 @@
                 watch_options options,
                 std::uint64_t seed);
 
-  void Start();
+  /**
+   * Starts or resumes to watch.
+   * @param known_version version up to which the listener knows the table; 0 if it has none.
+   */
+  void Start(std::uint64_t known_version = 0);
+  /** Stops without a further call to the listener; a pending call is abandoned. */
   void Stop();
+  bool is_running() const { return running_; }
+
+  /** Takes effect with the next call. */
+  void SetPace(const watch_pace& pace);
 
  private:
   void Load();
@@ -81,10 +85,10 @@
   bool loaded_ = false;
   bool connected_ = false;
   bool outage_reported_ = false;
-  bool stopped_ = false;
+  bool running_ = false;
   std::chrono::milliseconds backoff_;
   std::vector<table_row> page_rows_;
-  std::optional<std::uint64_t> page_version_;
+  std::optional<table_position> page_position_;
   std::chrono::steady_clock::time_point last_feed_;
 };
 
--- a/include/tarragon/settings/gateway_settings.h
+++ b/include/tarragon/settings/gateway_settings.h
@@ -20,11 +20,13 @@
   std::string readiness_address;
   /** `ip:port` for metrics; empty disables them. */
   std::string metrics_address;
-  /** `ip:port` for UDP messages between gateways; empty disables them. */
+  /** `ip:port` for UDP and TCP messages between gateways; empty disables them. */
   std::string peer_address;
   /** `ip:port` of the platform's store. */
   std::string store_address;
 
+  /** The whole fleet starts for the first time: the other gateways register at the same time. */
+  bool first_start = false;
   /** Time from SIGTERM until the platform kills the process. */
   std::chrono::milliseconds grace_period{8000};
   /**
--- a/src/gateway/config_updater.cc
+++ b/src/gateway/config_updater.cc
@@ -5,11 +5,11 @@
 
 namespace tarragon::gateway {
 
-void config_updater::OnTable(const std::vector<table_row>& rows, std::uint64_t) {
-  OnChanges(rows);
+void config_updater::OnTable(const std::vector<table_row>& rows, const table_position& position) {
+  OnChanges(rows, position);
 }
 
-void config_updater::OnChanges(const std::vector<table_row>& rows) {
+void config_updater::OnChanges(const std::vector<table_row>& rows, const table_position&) {
   std::ranges::for_each(rows, [this](const table_row& row) { ApplyRow(row); });
 }
 
--- a/src/gateway/daemon_table.cc
+++ b/src/gateway/daemon_table.cc
@@ -10,6 +10,9 @@
 
 constexpr int kOk = 200;
 
+/** Between the VM's name and its failure domain in a row. */
+constexpr char kSeparator = '\n';
+
 }  // namespace
 
 daemon_table::daemon_table(asio::io_context& loop,
@@ -25,7 +28,8 @@
 
 void daemon_table::Register() {
   constexpr std::chrono::milliseconds kTimeout{1000};
-  channel_.Call(gateway_.adapter.PutRowCall(kTable, own_address_, gateway_.own_vm), kTimeout,
+  const std::string row = gateway_.own_vm + kSeparator + gateway_.own_failure_domain;
+  channel_.Call(gateway_.adapter.PutRowCall(kTable, own_address_, row), kTimeout,
                 [this](const store_call_result& result) {
                   if (result && result.value().status == kOk) {
                     gateway_.log.LogState("daemon_registered", {{"address", own_address_}});
@@ -40,28 +44,33 @@
                 });
 }
 
-void daemon_table::OnTable(const std::vector<table_row>& rows, std::uint64_t) {
-  addresses_.clear();
-  OnChanges(rows);
+void daemon_table::OnTable(const std::vector<table_row>& rows, const table_position& position) {
+  domains_.clear();
+  OnChanges(rows, position);
 }
 
-void daemon_table::OnChanges(const std::vector<table_row>& rows) {
+void daemon_table::OnChanges(const std::vector<table_row>& rows, const table_position&) {
   for (const table_row& row : rows) {
     if (row.deleted) {
-      addresses_.erase(row.key);
+      domains_.erase(row.key);
     } else {
-      addresses_.insert(row.key);
+      const std::size_t separator = row.value.find(kSeparator);
+      domains_[row.key] =
+          separator == std::string::npos ? std::string() : row.value.substr(separator + 1);
     }
   }
-  OnAddressesChanged();
+  OnMembersChanged();
 }
 
-void daemon_table::OnAddressesChanged() {
-  addresses_.insert(own_address_);
-  gateway_.daemons = addresses_.size();
-  std::vector<std::string> others;
-  std::ranges::copy_if(addresses_, std::back_inserter(others),
-                       [this](const std::string& address) { return address != own_address_; });
+void daemon_table::OnMembersChanged() {
+  domains_.insert_or_assign(own_address_, gateway_.own_failure_domain);
+  gateway_.daemons = domains_.size();
+  std::vector<routing::relay_member> others;
+  for (const auto& [address, domain] : domains_) {
+    if (address != own_address_) {
+      others.push_back({address, domain});
+    }
+  }
   gateway_.log.LogState("daemons_known", {{"others", others.size()}});
   on_change_(others);
 }
--- a/src/gateway/endpoint_updater.cc
+++ b/src/gateway/endpoint_updater.cc
@@ -34,18 +34,18 @@
   return true;
 }
 
-void endpoint_updater::OnTable(const std::vector<table_row>& rows, std::uint64_t version) {
+void endpoint_updater::OnTable(const std::vector<table_row>& rows, const table_position& position) {
   std::vector<std::string> present;
   for (const table_row& row : rows) {
     if (ApplyRow(row)) {
       present.push_back(row.key);
     }
   }
-  gateway_.endpoints.RemoveUnlisted(gateway_.time.Now(), version, present);
+  gateway_.endpoints.RemoveUnlisted(gateway_.time.Now(), position.version, present);
   loaded_ = true;
 }
 
-void endpoint_updater::OnChanges(const std::vector<table_row>& rows) {
+void endpoint_updater::OnChanges(const std::vector<table_row>& rows, const table_position&) {
   for (const table_row& row : rows) {
     ApplyRow(row);
   }
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -10,6 +11,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
+#include <iterator>
 #include <random>
 #include <string>
 #include <unordered_set>
@@ -25,9 +27,11 @@
 #include "tarragon/gateway/event_log.h"
 #include "tarragon/gateway/gateway_state.h"
 #include "tarragon/gateway/load_gossip.h"
+#include "tarragon/gateway/relay_node.h"
 #include "tarragon/gateway/request_handler.h"
 #include "tarragon/gateway/status_server.h"
 #include "tarragon/gateway/store_connection.h"
+#include "tarragon/gateway/table_replica.h"
 #include "tarragon/gateway/table_watcher.h"
 
 namespace tarragon::gateway {
@@ -38,6 +42,11 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
+/** Positions in the tables of the relay; part of the relay's messages. */
+constexpr std::size_t kConfigTable = 0;
+constexpr std::size_t kEndpointTable = 1;
+constexpr std::size_t kDaemonTable = 2;
+
 /** Interval at which endpoint removals that were deferred by a store outage are rechecked. */
 constexpr std::chrono::milliseconds kHousekeepingInterval{250};
 
@@ -46,8 +55,11 @@
  * docs/platform.md.
  */
 constexpr std::chrono::milliseconds kEndpointFeedInterval{400};
-/** The daemon table changes only when a daemon starts on a new VM. */
-constexpr std::chrono::milliseconds kDaemonFeedWait{20000};
+/** In a fleet that starts, all daemons register within a second or so. */
+constexpr std::chrono::milliseconds kDaemonFeedInterval{500};
+/** Delay before the list of daemons is read; in a fleet that starts, most have registered then. */
+constexpr std::chrono::milliseconds kMembersDelay{30};
+constexpr std::chrono::milliseconds kFirstStartMembersDelay{1000};
 
 /** The load balancer removes a VM after two failed readiness checks, one second apart. */
 constexpr std::chrono::milliseconds kLoadBalancerRemovalTime{2500};
@@ -64,7 +76,7 @@
 
 watch_options MakeDaemonWatchOptions() {
   watch_options options;
-  options.wait = kDaemonFeedWait;
+  options.min_interval = kDaemonFeedInterval;
   return options;
 }
 
@@ -99,28 +111,45 @@
                 shared,
                 registration_connection,
                 settings.peer_address,
-                [this](const std::vector<std::string>& others) { gossip.SetPeers(others); }),
+                [this](const std::vector<routing::relay_member>& others) { SetPeers(others); }),
+        config_replica(config_listener,
+                       clock_source,
+                       shared.store_time,
+                       [this] { relay.OnReplicaChanged(kConfigTable); }),
+        endpoint_replica(endpoint_listener,
+                         clock_source,
+                         shared.store_time,
+                         [this] { relay.OnReplicaChanged(kEndpointTable); }),
+        daemon_replica(daemons,
+                       clock_source,
+                       shared.store_time,
+                       [this] { relay.OnReplicaChanged(kDaemonTable); }),
         config_watcher(loop,
                        platform,
                        config_connection,
                        std::string(platform.ConfigTable()),
-                       config_listener,
+                       config_replica,
                        {},
                        MakeRandomSeed()),
         endpoint_watcher(loop,
                          platform,
                          endpoint_connection,
                          std::string(platform.EndpointTable()),
-                         endpoint_listener,
+                         endpoint_replica,
                          MakeEndpointWatchOptions(),
                          MakeRandomSeed()),
         daemon_watcher(loop,
                        platform,
                        daemon_connection,
                        std::string(daemon_table::kTable),
-                       daemons,
+                       daemon_replica,
                        MakeDaemonWatchOptions(),
                        MakeRandomSeed()),
+        relay(shared,
+              {{"config", config_replica, config_watcher, true},
+               {"endpoints", endpoint_replica, endpoint_watcher, true},
+               {"daemons", daemon_replica, daemon_watcher, false}},
+              MakeRandomSeed()),
         gossip(loop, shared),
         signals(loop),
         housekeeping_timer(loop),
@@ -135,6 +164,22 @@
     shared.on_request_finished = [this] { ExitIfIdle(); };
   }
 
+  void SetPeers(const std::vector<routing::relay_member>& others) {
+    std::vector<std::string> addresses;
+    std::ranges::transform(others, std::back_inserter(addresses), &routing::relay_member::address);
+    gossip.SetPeers(addresses);
+    relay.SetMembers(others);
+  }
+
+  void ReadMembersAfter(std::chrono::milliseconds delay) {
+    members_timer.expires_after(delay);
+    members_timer.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        daemon_watcher.Start();
+      }
+    });
+  }
+
   void ApplyRetrySettings() {
     shared.SetBudgetOptions({settings.retry_share, settings.retry_slack, settings.retry_window});
   }
@@ -310,15 +355,20 @@
   config_updater config_listener;
   endpoint_updater endpoint_listener;
   daemon_table daemons;
+  table_replica config_replica;
+  table_replica endpoint_replica;
+  table_replica daemon_replica;
   table_watcher config_watcher;
   table_watcher endpoint_watcher;
   table_watcher daemon_watcher;
+  relay_node relay;
   load_gossip gossip;
   asio::signal_set signals;
   asio::steady_timer housekeeping_timer;
   asio::steady_timer exit_timer;
   asio::steady_timer removal_timer{loop};
   asio::steady_timer accept_timer{loop};
+  asio::steady_timer members_timer{loop};
   std::string settings_file;
   time_point drain_started;
   bool exit_posted = false;
@@ -347,7 +397,8 @@
   const bool listening =
       OpenAcceptor(self.acceptor, settings.callers_address) &&
       self.readiness_server.Listen(settings.readiness_address) &&
-      (settings.peer_address.empty() || self.gossip.Open(settings.peer_address, started));
+      (settings.peer_address.empty() || (self.gossip.Open(settings.peer_address, started) &&
+                                         self.relay.Open(settings.peer_address)));
   if (!listening) {
     self.log.LogState("listen_failed", {{"callers", settings.callers_address},
                                         {"readiness", settings.readiness_address},
@@ -366,12 +417,11 @@
   self.AwaitSignal();
   self.Accept();
   self.ScheduleHousekeeping();
-  self.config_watcher.Start();
-  self.endpoint_watcher.Start();
   if (!settings.peer_address.empty()) {
     self.daemons.Register();
-    self.daemon_watcher.Start();
+    self.ReadMembersAfter(settings.first_start ? kFirstStartMembersDelay : kMembersDelay);
   }
+  self.relay.Start();
   return true;
 }
 
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -11,6 +11,7 @@
 #include <sstream>
 #include <utility>
 
+#include "gateway/checksum.h"
 #include "tarragon/base/hash.h"
 #include "tarragon/gateway/socket_options.h"
 
@@ -58,17 +59,6 @@
 constexpr std::uint64_t kFormat = 0x74676c33;
 constexpr std::size_t kChecksumBytes = sizeof(std::uint64_t);
 
-/** @return the checksum of a payload, as little-endian bytes. */
-std::string ChecksumOf(std::string_view payload) {
-  constexpr unsigned kBitsPerByte = 8;
-  std::uint64_t rest = Hash64(payload, kFormat);
-  std::string bytes;
-  for (std::size_t i = 0; i < kChecksumBytes; ++i, rest >>= kBitsPerByte) {
-    bytes.push_back(static_cast<char>(rest & 0xFF));
-  }
-  return bytes;
-}
-
 }  // namespace
 
 std::string EncodeReport(const routing::peer_report& report) {
@@ -78,14 +68,14 @@
     archive(report);
   }
   const std::string payload = std::move(stream).str();
-  return ChecksumOf(payload) + payload;
+  return ChecksumOf(payload, kFormat) + payload;
 }
 
 std::optional<routing::peer_report> DecodeReport(std::string_view datagram) {
   // cereal allocates whatever size a damaged length field states, so the checksum is verified
   // first.
   if (datagram.size() < kChecksumBytes ||
-      ChecksumOf(datagram.substr(kChecksumBytes)) != datagram.substr(0, kChecksumBytes)) {
+      ChecksumOf(datagram.substr(kChecksumBytes), kFormat) != datagram.substr(0, kChecksumBytes)) {
     return std::nullopt;
   }
   std::istringstream stream{std::string(datagram.substr(kChecksumBytes))};
--- /dev/null
+++ b/src/gateway/relay_connection.cc
@@ -0,0 +1,99 @@
+#include "tarragon/gateway/relay_connection.h"
+
+#include <asio/write.hpp>
+#include <utility>
+
+#include "tarragon/base/invariant.h"
+#include "tarragon/gateway/socket_options.h"
+
+namespace tarragon::gateway {
+
+relay_connection::relay_connection(asio::ip::tcp::socket socket,
+                                   relay_connection_listener& listener)
+    : socket_(std::move(socket)), write_timer_(socket_.get_executor()), listener_(&listener) {}
+
+void relay_connection::Connect(const asio::ip::tcp::endpoint& target, const relay_message& first) {
+  asio::error_code ignored;  // A socket that cannot be opened fails to connect.
+  socket_.open(target.protocol(), ignored);
+  SetConnectionOptions(socket_);
+  socket_.async_connect(target, [self = shared_from_this(), first](const asio::error_code& error) {
+    if (self->listener_ == nullptr) {
+      return;
+    }
+    if (error) {
+      self->Fail();
+      return;
+    }
+    self->Send(first);
+    self->Read();
+  });
+}
+
+void relay_connection::Accept() {
+  SetConnectionOptions(socket_);
+  Read();
+}
+
+void relay_connection::Read() {
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
+        if (self->listener_ == nullptr) {
+          return;
+        }
+        std::vector<relay_message> messages;
+        const bool valid = !error && self->reader_.Feed({self->buffer_.data(), size}, messages);
+        for (relay_message& message : messages) {
+          if (self->listener_ != nullptr) {
+            self->listener_->OnRelayMessage(*self, std::move(message));
+          }
+        }
+        if (self->listener_ == nullptr) {
+          return;
+        }
+        if (!valid) {
+          self->Fail();
+          return;
+        }
+        self->Read();
+      });
+}
+
+void relay_connection::Send(const relay_message& message) {
+  TARRAGON_INVARIANT(!writing_, "a message was sent before the last one was written");
+  writing_ = true;
+  pending_ = EncodeFrame(message);
+  write_timer_.expires_after(kWriteTimeout);
+  write_timer_.async_wait([self = weak_from_this()](const asio::error_code& error) {
+    const auto alive = self.lock();
+    if (alive && !error && alive->writing_ && alive->listener_ != nullptr) {
+      alive->Fail();
+    }
+  });
+  asio::async_write(socket_, asio::buffer(pending_),
+                    [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                      self->writing_ = false;
+                      self->write_timer_.cancel();
+                      // The pending read reports a failed write.
+                      if (!error && self->listener_ != nullptr) {
+                        self->listener_->OnRelayWritten(*self);
+                      }
+                    });
+}
+
+void relay_connection::Fail() {
+  relay_connection_listener* const listener = listener_;
+  Close();
+  if (listener != nullptr) {
+    listener->OnRelayClosed(*this);
+  }
+}
+
+void relay_connection::Close() {
+  listener_ = nullptr;
+  write_timer_.cancel();
+  asio::error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace tarragon::gateway
--- /dev/null
+++ b/src/gateway/relay_message.cc
@@ -0,0 +1,108 @@
+#include "tarragon/gateway/relay_message.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <exception>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "gateway/checksum.h"
+
+namespace tarragon::gateway {
+
+template <class Archive>
+void serialize(Archive& archive, table_row& row) {
+  archive(row.key, row.value, row.version, row.deleted);
+}
+
+template <class Archive>
+void serialize(Archive& archive, table_update& update) {
+  std::int64_t store_time = update.position.store_time.count();
+  archive(update.base_version, update.position.version, store_time, update.rows);
+  update.position.store_time = std::chrono::milliseconds(store_time);
+}
+
+template <class Archive>
+void serialize(Archive& archive, relay_update& message) {
+  archive(message.table, message.store_lost, message.update);
+}
+
+template <class Archive>
+void serialize(Archive& archive, relay_subscription& message) {
+  archive(message.vm, message.versions);
+}
+
+namespace {
+
+/** Checksum seed; must change with the message format. */
+constexpr std::uint64_t kFormat = 0x74676c72;
+constexpr std::size_t kLengthBytes = 4;
+
+std::size_t ReadLength(std::string_view bytes) {
+  constexpr unsigned kBitsPerByte = 8;
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i])) << (i * kBitsPerByte);
+  }
+  return length;
+}
+
+std::optional<relay_message> DecodePayload(std::string_view payload) {
+  std::istringstream stream{std::string(payload)};
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    relay_message message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    // cereal reports a truncated message only by an exception.
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string EncodeFrame(const relay_message& message) {
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(message);
+  }
+  const std::string payload = std::move(stream).str();
+  return ToLittleEndian(payload.size(), kLengthBytes) + ChecksumOf(payload, kFormat) + payload;
+}
+
+bool relay_frame_reader::Feed(std::string_view bytes, std::vector<relay_message>& messages) {
+  buffer_.append(bytes);
+  std::string_view rest = buffer_;
+  bool valid = true;
+  while (valid && rest.size() >= kFrameHeaderBytes) {
+    const std::size_t length = ReadLength(rest);
+    if (length > kMaxFramePayload) {
+      valid = false;
+      break;
+    }
+    if (rest.size() < kFrameHeaderBytes + length) {
+      break;
+    }
+    const std::string_view payload = rest.substr(kFrameHeaderBytes, length);
+    // cereal allocates whatever size a damaged length field states, so the checksum comes first.
+    std::optional<relay_message> message;
+    if (rest.substr(kLengthBytes, kFrameHeaderBytes - kLengthBytes) ==
+        ChecksumOf(payload, kFormat)) {
+      message = DecodePayload(payload);
+    }
+    valid = message.has_value();
+    if (valid) {
+      messages.push_back(*std::move(message));
+      rest.remove_prefix(kFrameHeaderBytes + length);
+    }
+  }
+  buffer_ = std::string(rest);
+  return valid;
+}
+
+}  // namespace tarragon::gateway
--- /dev/null
+++ b/src/gateway/relay_node.cc
@@ -0,0 +1,320 @@
+#include "tarragon/gateway/relay_node.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <iterator>
+#include <ranges>
+#include <utility>
+
+#include "tarragon/gateway/socket_options.h"
+#include "tarragon/gateway/status_server.h"
+
+namespace tarragon::gateway {
+
+namespace {
+
+/** Longest wait of a feed call whose result no other daemon waits for. */
+constexpr std::chrono::milliseconds kDirectWait{3000};
+/** The list of daemons changes only when a daemon starts on a new VM. */
+constexpr std::chrono::milliseconds kMembersWait{20000};
+/** Bounds the time between two confirmations that are relayed. */
+constexpr std::chrono::milliseconds kRelayedWait{600};
+constexpr std::chrono::milliseconds kMaxBackoff{800};
+/** For daemons that read only because they have no source: in an outage these are all others. */
+constexpr std::chrono::milliseconds kMaxSubstituteBackoff{4000};
+
+watch_pace PaceOf(const routing::relay_plan& plan, bool essential) {
+  const std::chrono::milliseconds wait = plan.is_relayed ? kRelayedWait : kDirectWait;
+  return {.wait = essential ? wait : kMembersWait,
+          .max_backoff = plan.reads_store ? kMaxBackoff : kMaxSubstituteBackoff};
+}
+
+}  // namespace
+
+relay_node::relay_node(gateway_state& gateway,
+                       std::vector<relayed_table> tables,
+                       std::uint64_t seed)
+    : gateway_(gateway),
+      tables_(std::move(tables)),
+      selector_(gateway.time.Now(), seed),
+      acceptor_(gateway.loop),
+      timer_(gateway.loop),
+      link_store_times_(tables_.size()) {}
+
+relay_node::~relay_node() {
+  CloseLink();
+  for (const follower& known : followers_ | std::views::values) {
+    known.connection->Close();
+  }
+}
+
+bool relay_node::Open(const std::string& address) {
+  own_address_ = address;
+  if (!OpenAcceptor(acceptor_, address)) {
+    return false;
+  }
+  Accept();
+  return true;
+}
+
+void relay_node::Start() {
+  if (own_address_.empty()) {
+    // Without peers there is nobody to follow.
+    selector_.SetPlan(gateway_.time.Now(), routing::MakeRelayPlan({}, {}));
+  }
+  Update();
+  ScheduleTick();
+}
+
+void relay_node::SetMembers(const std::vector<routing::relay_member>& members) {
+  const routing::relay_plan plan =
+      MakeRelayPlan(members, {own_address_, gateway_.own_failure_domain});
+  if (plan == selector_.plan()) {
+    return;
+  }
+  gateway_.log.LogState("relay_plan", {{"members", members.size()},
+                                       {"reads_store", plan.reads_store},
+                                       {"depth", plan.depth},
+                                       {"sources", plan.sources.size()}});
+  selector_.SetPlan(gateway_.time.Now(), plan);
+  // The replica that reports the members is still being updated.
+  asio::post(gateway_.loop, [this] { Update(); });
+}
+
+void relay_node::Accept() {
+  acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+    if (!acceptor_.is_open() || error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error && followers_.size() < kMaxFollowers) {
+      const auto connection = std::make_shared<relay_connection>(std::move(socket), *this);
+      followers_[connection.get()].connection = connection;
+      connection->Accept();
+    }
+    Accept();
+  });
+}
+
+void relay_node::ScheduleTick() {
+  timer_.expires_after(kTickInterval);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      ReportRelayedOutage();
+      Update();
+      ScheduleTick();
+    }
+  });
+}
+
+routing::source_view relay_node::View() const {
+  routing::source_view view{
+      .loaded = true, .age = duration::zero(), .source_age = duration::zero()};
+  const time_point now = gateway_.time.Now();
+  for (std::size_t table = 0; table < tables_.size(); ++table) {
+    if (!tables_[table].essential) {
+      continue;
+    }
+    const std::optional<duration> age = tables_[table].replica.Age();
+    view.loaded = view.loaded && age.has_value();
+    view.age = std::max(view.age, age.value_or(duration::zero()));
+    const auto& received = link_store_times_[table];
+    if (!received) {
+      view.source_age.reset();
+    } else if (view.source_age) {
+      view.source_age = std::max(*view.source_age, gateway_.store_time.Age(now, *received));
+    }
+  }
+  return view;
+}
+
+void relay_node::Update() {
+  const routing::source_view view = View();
+  selector_.Update(gateway_.time.Now(), view);
+  selector_.Validate();
+  if (view.loaded) {
+    gateway_.counters.Latency("tarragon_gateway_table_age_seconds").Record(view.age);
+  }
+  Reconcile();
+}
+
+void relay_node::Reconcile() {
+  const std::string wanted = selector_.source().value_or("");
+  if (wanted != link_address_) {
+    CloseLink();
+    if (!wanted.empty()) {
+      OpenLink(wanted);
+    }
+  }
+  SetReading(selector_.reads_store());
+}
+
+void relay_node::SetReading(bool reads_store) {
+  for (const relayed_table& table : tables_) {
+    if (reads_store) {
+      table.watcher.SetPace(PaceOf(selector_.plan(), table.essential));
+      const table_replica& replica = table.replica;
+      table.watcher.Start(replica.is_loaded() ? replica.position().version : 0);
+    } else if (table.essential || table.replica.is_loaded()) {
+      table.watcher.Stop();
+    }
+  }
+  if (std::exchange(reading_, reads_store) != reads_store) {
+    gateway_.log.LogState("store_reading", {{"reads_store", reads_store},
+                                            {"planned", selector_.plan().reads_store},
+                                            {"source", link_address_}});
+    gateway_.counters.Gauge("tarragon_gateway_reads_store").Set(reads_store ? 1 : 0);
+  }
+}
+
+void relay_node::OpenLink(const std::string& address) {
+  link_address_ = address;
+  const auto target = ParseAddress(address);
+  if (!target) {
+    selector_.OnSourceFailed(gateway_.time.Now());
+    link_address_.clear();
+    return;
+  }
+  relay_subscription subscription{.vm = gateway_.own_vm, .versions = {}};
+  std::ranges::transform(tables_, std::back_inserter(subscription.versions),
+                         [](const relayed_table& table) {
+                           const table_replica& replica = table.replica;
+                           return replica.is_loaded() ? replica.position().version : 0;
+                         });
+  link_ = std::make_shared<relay_connection>(asio::ip::tcp::socket(gateway_.loop), *this);
+  link_->Connect(*target, subscription);
+}
+
+void relay_node::CloseLink() {
+  if (link_) {
+    link_->Close();
+    link_.reset();
+  }
+  link_address_.clear();
+  source_lost_store_ = false;
+  std::ranges::fill(link_store_times_, std::nullopt);
+}
+
+void relay_node::OnRelayMessage(relay_connection& connection, relay_message message) {
+  struct visitor {
+    relay_node& node;
+    relay_connection& connection;
+    void operator()(relay_subscription subscription) const {
+      node.OnSubscription(connection, std::move(subscription));
+    }
+    void operator()(relay_update update) const {
+      if (&connection == node.link_.get()) {
+        node.OnUpdate(std::move(update));
+      }
+    }
+  };
+  std::visit(visitor{*this, connection}, std::move(message));
+}
+
+void relay_node::OnUpdate(relay_update message) {
+  if (message.table >= tables_.size()) {
+    return;
+  }
+  table_replica& replica = tables_[message.table].replica;
+  source_lost_store_ = message.store_lost;
+  const std::chrono::milliseconds store_time = message.update.position.store_time;
+  if (!replica.Apply(message.update)) {
+    gateway_.log.LogState("relay_gap", {{"table", tables_[message.table].name},
+                                        {"source", link_address_},
+                                        {"base", message.update.base_version},
+                                        {"known", replica.position().version}});
+    selector_.OnSourceFailed(gateway_.time.Now());
+    Update();
+    return;
+  }
+  std::optional<std::chrono::milliseconds>& received = link_store_times_[message.table];
+  const bool first = !received;
+  received = std::max(received.value_or(store_time), store_time);
+  gateway_.counters.Counter("tarragon_gateway_relay_updates_total").Add();
+  if (first) {
+    // The first update may complete the tables that readiness waits for.
+    Update();
+  }
+}
+
+void relay_node::OnSubscription(relay_connection& connection, relay_subscription message) {
+  const auto found = followers_.find(&connection);
+  if (found == followers_.end()) {
+    return;
+  }
+  follower& known = found->second;
+  known.vm = std::move(message.vm);
+  known.sent = std::move(message.versions);
+  known.sent.resize(tables_.size());
+  known.pending.assign(tables_.size(), true);
+  gateway_.log.LogState("relay_follower", {{"vm", known.vm}, {"followers", followers_.size()}});
+  gateway_.counters.Gauge("tarragon_gateway_relay_followers")
+      .Set(static_cast<std::int64_t>(followers_.size()));
+  PushPending(known);
+}
+
+void relay_node::OnReplicaChanged(std::size_t table) {
+  for (follower& known : followers_ | std::views::values) {
+    if (!known.sent.empty()) {
+      known.pending[table] = true;
+      PushPending(known);
+    }
+  }
+}
+
+void relay_node::PushPending(follower& target) {
+  for (std::size_t table = 0; table < tables_.size(); ++table) {
+    if (target.connection->is_writing()) {
+      return;
+    }
+    if (target.pending[table]) {
+      target.pending[table] = false;
+      PushTo(target, table);
+    }
+  }
+}
+
+void relay_node::PushTo(follower& target, std::size_t table) {
+  const table_replica& replica = tables_[table].replica;
+  if (!replica.is_loaded() || replica.position().version < target.sent[table]) {
+    // The follower is ahead; it needs nothing until this replica has caught up.
+    return;
+  }
+  relay_update message{.table = static_cast<std::uint8_t>(table),
+                       .store_lost = replica.is_store_lost() || source_lost_store_,
+                       .update = replica.ChangesSince(target.sent[table])};
+  target.sent[table] = replica.position().version;
+  target.connection->Send(message);
+}
+
+void relay_node::OnRelayWritten(relay_connection& connection) {
+  if (const auto found = followers_.find(&connection);
+      found != followers_.end() && !found->second.sent.empty()) {
+    PushPending(found->second);
+  }
+}
+
+void relay_node::OnRelayClosed(relay_connection& connection) {
+  if (&connection == link_.get()) {
+    gateway_.log.LogState("relay_source_lost", {{"source", link_address_}});
+    selector_.OnSourceFailed(gateway_.time.Now());
+    CloseLink();
+    Update();
+    return;
+  }
+  followers_.erase(&connection);
+  gateway_.counters.Gauge("tarragon_gateway_relay_followers")
+      .Set(static_cast<std::int64_t>(followers_.size()));
+}
+
+void relay_node::ReportRelayedOutage() {
+  if (reading_ || !source_lost_store_) {
+    return;
+  }
+  for (const relayed_table& table : tables_) {
+    if (table.essential && table.replica.Age().value_or(duration::zero()) > selector_.StaleAge()) {
+      table.replica.OnStoreLost("the source has lost the store");
+    }
+  }
+}
+
+}  // namespace tarragon::gateway
--- a/src/gateway/store_connection.cc
+++ b/src/gateway/store_connection.cc
@@ -20,6 +20,7 @@
 void store_connection::Call(service_call call, std::chrono::milliseconds timeout, callback done) {
   TARRAGON_INVARIANT(!done_, "a store call was made while another was pending");
   done_ = std::move(done);
+  ++call_number_;
   response_ = {};
   sent_ = false;
   request_ = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, address_);
@@ -42,8 +43,9 @@
   }
 }
 
-void store_connection::Close() {
+void store_connection::Cancel() {
   done_ = nullptr;
+  ++call_number_;
   timer_.cancel();
   Disconnect();
 }
@@ -147,9 +149,9 @@
 
 void store_connection::Finish(store_call_result result) {
   timer_.cancel();
-  asio::post(loop_, [done = std::exchange(done_, nullptr), result = std::move(result),
-                     alive = alive_]() mutable {
-    if (*alive) {
+  asio::post(loop_, [this, done = std::exchange(done_, nullptr), result = std::move(result),
+                     number = call_number_, alive = alive_]() mutable {
+    if (*alive && number == call_number_) {
       done(std::move(result));
     }
   });
--- /dev/null
+++ b/src/gateway/table_replica.cc
@@ -0,0 +1,138 @@
+#include "tarragon/gateway/table_replica.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <set>
+#include <utility>
+
+#include "tarragon/base/invariant.h"
+
+namespace tarragon::gateway {
+
+bool table_replica::Advance(const table_position& position) {
+  if (loaded_ && position.version < position_.version) {
+    return false;
+  }
+  store_time_.Record(time_.Now(), position.store_time);
+  position_.version = position.version;
+  position_.store_time = std::max(position_.store_time, position.store_time);
+  constexpr duration kRecent = std::chrono::seconds(1);
+  if (store_time_.Age(time_.Now(), position.store_time) < kRecent) {
+    OnStoreRegained();
+  }
+  return true;
+}
+
+std::vector<table_row> table_replica::ApplyRows(const std::vector<table_row>& rows) {
+  std::vector<table_row> changed;
+  for (const table_row& row : rows) {
+    const auto [known, added] = rows_.try_emplace(row.key, row);
+    if (!added) {
+      if (known->second.version >= row.version) {
+        continue;
+      }
+      tombstones_ -= known->second.deleted ? 1 : 0;
+      known->second = row;
+    }
+    tombstones_ += row.deleted ? 1 : 0;
+    changed.push_back(row);
+  }
+  return changed;
+}
+
+void table_replica::DropTombstones() {
+  while (tombstones_ > kMaxTombstones) {
+    const auto oldest = std::ranges::min_element(rows_, {}, [](const auto& entry) {
+      const table_row& row = entry.second;
+      return std::pair(!row.deleted, row.version);
+    });
+    complete_since_ = std::max(complete_since_, oldest->second.version);
+    rows_.erase(oldest);
+    --tombstones_;
+  }
+}
+
+void table_replica::OnTable(const std::vector<table_row>& rows, const table_position& position) {
+  if (!Advance(position)) {
+    return;
+  }
+  std::set<std::string_view> present;
+  std::ranges::transform(rows, std::inserter(present, present.end()), &table_row::key);
+  std::vector<table_row> absent;
+  for (const table_row& known : rows_ | std::views::values) {
+    if (!known.deleted && !present.contains(known.key)) {
+      absent.push_back({known.key, {}, position.version, true});
+    }
+  }
+  ApplyRows(absent);
+  ApplyRows(rows);
+  DropTombstones();
+  loaded_ = true;
+  listener_.OnTable(rows, position);
+  on_change_();
+}
+
+void table_replica::OnChanges(const std::vector<table_row>& rows, const table_position& position) {
+  if (!Advance(position)) {
+    return;
+  }
+  const std::vector<table_row> changed = ApplyRows(rows);
+  DropTombstones();
+  if (!changed.empty()) {
+    listener_.OnChanges(changed, position);
+  }
+  on_change_();
+}
+
+void table_replica::OnStoreLost(std::string_view reason) {
+  if (!std::exchange(store_lost_, true)) {
+    listener_.OnStoreLost(reason);
+    on_change_();
+  }
+}
+
+void table_replica::OnStoreRegained() {
+  if (std::exchange(store_lost_, false)) {
+    listener_.OnStoreRegained();
+  }
+}
+
+bool table_replica::Apply(const table_update& update) {
+  if (update.base_version == 0) {
+    OnTable(update.rows, update.position);
+    return true;
+  }
+  if (!loaded_ || update.base_version > position_.version) {
+    return false;
+  }
+  OnChanges(update.rows, update.position);
+  return true;
+}
+
+table_update table_replica::ChangesSince(std::uint64_t version) const {
+  table_update update{.base_version = version, .position = position_, .rows = {}};
+  const bool complete = version == 0 || version < complete_since_;
+  if (complete) {
+    update.base_version = 0;
+  }
+  for (const table_row& row : rows_ | std::views::values) {
+    if (complete ? !row.deleted : row.version > version) {
+      update.rows.push_back(row);
+    }
+  }
+  // Consumers expect changes in the order in which they were made.
+  std::ranges::sort(update.rows, {}, &table_row::version);
+  return update;
+}
+
+std::optional<duration> table_replica::Age() const {
+  return loaded_ ? std::optional(store_time_.Age(time_.Now(), position_.store_time)) : std::nullopt;
+}
+
+void table_replica::Validate() const {
+  TARRAGON_INVARIANT(loaded_ || rows_.empty(), "a table that was never read has rows");
+  TARRAGON_INVARIANT(tombstones_ <= rows_.size(), "more tombstones than rows");
+}
+
+}  // namespace tarragon::gateway
--- a/src/gateway/table_watcher.cc
+++ b/src/gateway/table_watcher.cc
@@ -36,19 +36,39 @@
       random_(seed),
       backoff_(options.initial_backoff) {}
 
-void table_watcher::Start() {
-  Load();
+void table_watcher::Start(std::uint64_t known_version) {
+  if (std::exchange(running_, true)) {
+    return;
+  }
+  connected_ = false;
+  backoff_ = options_.initial_backoff;
+  version_ = std::max(version_, known_version);
+  loaded_ = loaded_ || known_version > 0;
+  if (loaded_) {
+    Watch();
+  } else {
+    Load();
+  }
+}
+
+void table_watcher::SetPace(const watch_pace& pace) {
+  options_.wait = pace.wait;
+  options_.max_backoff = pace.max_backoff;
 }
 
 void table_watcher::Stop() {
-  stopped_ = true;
+  if (!std::exchange(running_, false)) {
+    return;
+  }
+  outage_reported_ = false;
   timer_.cancel();
+  channel_.Cancel();
 }
 
 void table_watcher::ScheduleAfter(std::chrono::milliseconds delay, void (table_watcher::*next)()) {
   timer_.expires_after(delay);
   timer_.async_wait([this, next](const asio::error_code& error) {
-    if (!error && !stopped_) {
+    if (!error && running_) {
       (this->*next)();
     }
   });
@@ -56,14 +76,14 @@
 
 void table_watcher::Load() {
   page_rows_.clear();
-  page_version_.reset();
+  page_position_.reset();
   LoadPage({});
 }
 
 void table_watcher::LoadPage(const std::string& from) {
   channel_.Call(adapter_.ReadTableCall(table_, from), options_.response_timeout,
                 [this](store_call_result result) {
-                  if (!stopped_) {
+                  if (running_) {
                     OnPage(std::move(result));
                   }
                 });
@@ -80,7 +100,9 @@
     return;
   }
   // The feed starts at the oldest page's version, and so repeats changes made between the pages.
-  page_version_ = std::min(page_version_.value_or(page.value().version), page.value().version);
+  if (!page_position_ || page.value().version < page_position_->version) {
+    page_position_ = {page.value().version, page.value().store_time};
+  }
   std::ranges::move(page.value().rows, std::back_inserter(page_rows_));
   if (page.value().more && !page_rows_.empty()) {
     LoadPage(page_rows_.back().key + '\0');
@@ -90,17 +112,19 @@
 }
 
 void table_watcher::FinishLoad() {
-  if (loaded_ && *page_version_ < version_) {
+  if (loaded_ && page_position_->version < version_) {
     // A read may lag behind the feed; a stale table must not replace a newer one.
     ScheduleAfter(options_.stale_read_delay, &table_watcher::Load);
     return;
   }
   loaded_ = true;
-  version_ = *page_version_;
+  version_ = page_position_->version;
   OnCallSucceeded();
-  listener_.OnTable(page_rows_, version_);
+  listener_.OnTable(page_rows_, *page_position_);
   page_rows_.clear();
-  Watch();
+  if (running_) {
+    Watch();
+  }
 }
 
 void table_watcher::Watch() {
@@ -109,7 +133,7 @@
   const std::chrono::milliseconds wait = connected_ ? options_.wait : std::chrono::milliseconds(0);
   channel_.Call(adapter_.WatchTableCall(table_, version_, wait), wait + options_.response_timeout,
                 [this](store_call_result result) {
-                  if (!stopped_) {
+                  if (running_) {
                     OnFeed(std::move(result));
                   }
                 });
@@ -131,8 +155,9 @@
   }
   OnCallSucceeded();
   version_ = std::max(version_, page.value().version);
-  if (!page.value().rows.empty()) {
-    listener_.OnChanges(page.value().rows);
+  listener_.OnChanges(page.value().rows, {version_, page.value().store_time});
+  if (!running_) {
+    return;
   }
   const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::steady_clock::now() - last_feed_);
--- /dev/null
+++ b/src/routing/relay_plan.cc
@@ -0,0 +1,58 @@
+#include "tarragon/routing/relay_plan.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+#include "tarragon/base/hash.h"
+
+namespace tarragon::routing {
+
+namespace {
+
+struct ranked_member {
+  std::uint64_t hash = 0;
+  std::string address;
+  auto operator<=>(const ranked_member&) const = default;
+};
+
+/** @return the daemons of `self`'s failure domain, in tree order. */
+std::vector<ranked_member> RankDomain(const std::vector<relay_member>& members,
+                                      const relay_member& self) {
+  std::vector<ranked_member> ranked = {{Hash64(self.address), self.address}};
+  for (const relay_member& member : members) {
+    if (member.failure_domain == self.failure_domain && member.address != self.address) {
+      ranked.push_back({Hash64(member.address), member.address});
+    }
+  }
+  std::ranges::sort(ranked);
+  return ranked;
+}
+
+}  // namespace
+
+relay_plan MakeRelayPlan(const std::vector<relay_member>& members, const relay_member& self) {
+  if (members.size() <= kMaxDirectReaders) {
+    return {.reads_store = true, .is_relayed = false, .sources = {}, .depth = 0};
+  }
+  const std::vector<ranked_member> ranked = RankDomain(members, self);
+  const auto own =
+      std::ranges::lower_bound(ranked, ranked_member{Hash64(self.address), self.address});
+  const auto rank = static_cast<std::size_t>(own - ranked.begin());
+  relay_plan plan;
+  plan.reads_store = rank == 0;
+  plan.is_relayed = true;
+  constexpr std::size_t kDeputy = 1;
+  bool has_deputy = rank <= kDeputy;
+  for (std::size_t position = rank; position > 0; ++plan.depth) {
+    position = (position - 1) / kRelayFanOut;
+    plan.sources.push_back(ranked[position].address);
+    has_deputy = has_deputy || position == kDeputy;
+  }
+  if (!has_deputy) {
+    plan.sources.push_back(ranked[kDeputy].address);
+  }
+  return plan;
+}
+
+}  // namespace tarragon::routing
--- /dev/null
+++ b/src/routing/source_selector.cc
@@ -0,0 +1,104 @@
+#include "tarragon/routing/source_selector.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tarragon/base/invariant.h"
+
+namespace tarragon::routing {
+
+source_selector::source_selector(time_point now, std::uint64_t seed, selector_options options)
+    : options_(options), random_(seed), started_at_(now) {}
+
+duration source_selector::StaleAge() const {
+  return options_.max_age +
+         options_.age_per_level * static_cast<std::int64_t>(std::max<std::size_t>(plan_.depth, 1));
+}
+
+void source_selector::SetPlan(time_point now, relay_plan plan) {
+  plan_ = std::move(plan);
+  std::erase_if(failed_, [&](const auto& failed) {
+    return std::ranges::find(plan_.sources, failed.first) == plan_.sources.end();
+  });
+  const bool listed = source_ && std::ranges::find(plan_.sources, *source_) != plan_.sources.end();
+  if (source_ && !listed) {
+    source_.reset();
+    ChooseSource(now);
+  }
+}
+
+duration source_selector::Cooldown(std::uint32_t failures) {
+  if (!loaded_) {
+    return options_.start_cooldown;
+  }
+  constexpr std::uint32_t kMaxDoublings = 10;
+  const duration full =
+      std::min(options_.max_cooldown,
+               options_.min_cooldown * (std::int64_t{1} << std::min(failures, kMaxDoublings)));
+  // Jitter keeps the followers of a source that returns from connecting at the same moment.
+  std::uniform_int_distribution<std::int64_t> jitter(full.count() / 2, full.count());
+  return duration(jitter(random_));
+}
+
+void source_selector::GiveUpSource(time_point now, bool responds) {
+  if (!source_) {
+    return;
+  }
+  failed_source& failed = failed_[*source_];
+  failed.retry_at = now + Cooldown(failed.failures);
+  failed.failures = responds ? 0 : failed.failures + 1;
+  source_.reset();
+}
+
+void source_selector::OnSourceFailed(time_point now) {
+  GiveUpSource(now, false);
+}
+
+void source_selector::ChooseSource(time_point now) {
+  const auto usable = std::ranges::find_if(plan_.sources, [&](const std::string& address) {
+    const auto failed = failed_.find(address);
+    return failed == failed_.end() || failed->second.retry_at <= now;
+  });
+  if (usable != plan_.sources.end()) {
+    source_ = *usable;
+    source_since_ = now;
+  }
+}
+
+void source_selector::Update(time_point now, const source_view& view) {
+  loaded_ = view.loaded;
+  if (plan_.reads_store) {
+    source_.reset();
+    reads_store_ = true;
+    return;
+  }
+  if (source_ && view.loaded && view.source_age && *view.source_age <= StaleAge()) {
+    failed_.erase(*source_);
+    stale_since_.reset();
+    reads_store_ = false;
+    return;
+  }
+  if (source_ && now >= source_since_ + options_.source_timeout) {
+    GiveUpSource(now, view.source_age.has_value());
+  }
+  if (!source_) {
+    ChooseSource(now);
+  }
+  if (view.loaded && view.age <= StaleAge()) {
+    // While it reads the store itself, the daemon keeps looking for a source.
+    stale_since_.reset();
+    reads_store_ = reads_store_ || !source_;
+    return;
+  }
+  const time_point since = stale_since_.value_or(now);
+  stale_since_ = since;
+  const bool waited = view.loaded ? !source_ || now >= since + options_.takeover_delay
+                                  : now >= started_at_ + options_.start_patience;
+  reads_store_ = reads_store_ || waited;
+}
+
+void source_selector::Validate() const {
+  TARRAGON_INVARIANT(!plan_.reads_store || !source_, "a reader of the store follows a daemon");
+}
+
+}  // namespace tarragon::routing
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -37,6 +37,10 @@
   store.Address("address", key_presence::kRequired, settings.store_address);
   store.ReportUnknownKeys();
 
+  settings_table start = child("start");
+  start.Bool("first", settings.first_start);
+  start.ReportUnknownKeys();
+
   settings_table shutdown = child("shutdown");
   ReadSeconds(shutdown, "grace_s", settings.grace_period);
   shutdown.ReportUnknownKeys();
--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -79,6 +79,17 @@
   store_.Put("op", "config", MakeConfig(config_version_).dump());
 }
 
+std::vector<std::size_t> fleet_emulator::FindInLogs(const std::string& text) const {
+  std::vector<std::size_t> found;
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    const std::ifstream log(gateways_[i]->log_file());
+    if ((std::ostringstream() << log.rdbuf()).str().find(text) != std::string::npos) {
+      found.push_back(i);
+    }
+  }
+  return found;
+}
+
 void fleet_emulator::AddEndpoint(const std::string& service) {
   endpoint_options options;
   options.id = fmt::format("{}-{}", service, ++last_endpoint_);
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -42,6 +42,7 @@
 
   /** Writes a newer version of the configuration to the store. */
   void WriteConfig();
+  std::uint64_t config_version() const { return config_version_; }
 
   /** Sends a request to a gateway. */
   std::shared_ptr<caller> SendRequest(call_kind kind,
@@ -60,6 +61,9 @@
   /** Waits until each gateway serves a read. @return false if a gateway does not in time. */
   bool WaitUntilServing();
 
+  /** @return indices of the gateways whose logs hold a line with this text. */
+  std::vector<std::size_t> FindInLogs(const std::string& text) const;
+
   /** @return violated guarantees of all requests so far, one line each; empty if there are none. */
   std::string DescribeViolations() const;
 
--- a/tests/emulator/gateway_fleet_test.cc
+++ b/tests/emulator/gateway_fleet_test.cc
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -104,6 +105,50 @@
   EXPECT_EQ(fleet.DescribeViolations(), "");
 }
 
+/** @return whether all gateways but `except` have put the newest configuration in force. */
+bool NewestConfigIsInForce(const fleet_emulator& fleet, std::size_t except) {
+  const std::vector<std::size_t> known =
+      fleet.FindInLogs(fmt::format("config_in_force version={} ", fleet.config_version()));
+  return known.size() >= fleet.gateway_count() - 1 &&
+         (known.size() == fleet.gateway_count() || std::ranges::find(known, except) == known.end());
+}
+
+// Guards against a fleet in which every daemon reads the store, and against daemons that keep an
+// old configuration because the daemon that they follow is paused, killed or cut off from the
+// store.
+TEST(GatewayFleetTest, RelaysRowsWhenReadersFail) {
+  constexpr std::size_t kGateways = 21;
+  constexpr std::size_t kFailureDomains = 3;
+  constexpr milliseconds kConfigBound{3000};
+  fleet_options options;
+  options.gateways = kGateways;
+  fleet_emulator fleet(options);
+  ASSERT_TRUE(fleet.WaitUntilServing());
+  fleet.RunFor(seconds(4));
+  const std::uint64_t calls_before = fleet.store().call_count();
+  fleet.RunFor(seconds(2));
+  // Each reader makes two calls every 600 ms, and one more while it looks for a source.
+  EXPECT_LE(fleet.store().call_count() - calls_before, kFailureDomains * 2 * 5);
+
+  const std::vector<std::size_t> readers =
+      fleet.FindInLogs("store_reading reads_store=true planned=true");
+  ASSERT_FALSE(readers.empty());
+  fleet.gateway(readers[0]).SendSignal(SIGSTOP);
+  fleet.WriteConfig();
+  EXPECT_TRUE(
+      fleet.RunUntil([&] { return NewestConfigIsInForce(fleet, readers[0]); }, kConfigBound));
+  fleet.gateway(readers[0]).SendSignal(SIGCONT);
+  fleet.RunFor(seconds(1));
+  fleet.gateway(readers[0]).Kill();
+  fleet.WriteConfig();
+  EXPECT_TRUE(
+      fleet.RunUntil([&] { return NewestConfigIsInForce(fleet, readers[0]); }, kConfigBound));
+  // The restarted daemon gets its tables at once, and serves.
+  fleet.gateway(readers[0]).Start();
+  EXPECT_TRUE(fleet.WaitUntilServing());
+  EXPECT_EQ(fleet.DescribeViolations(), "");
+}
+
 /** Injects one fault of a random kind. */
 void InjectRandomFault(fleet_emulator& fleet) {
   constexpr std::uint64_t kFaultKinds = 8;
--- a/tests/emulator/store_emulator.cc
+++ b/tests/emulator/store_emulator.cc
@@ -1,6 +1,7 @@
 #include "emulator/store_emulator.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "base64.h"
@@ -15,6 +16,12 @@
 constexpr int kStatusConflict = 412;
 constexpr int kStatusUnavailable = 503;
 
+std::int64_t SteadyMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
 std::uint64_t ParseNumberOrZero(const std::string& text) {
   return text.empty() ? 0 : std::stoull(text);
 }
@@ -54,6 +61,7 @@
 }
 
 void store_emulator::Handle(const incoming_request& request, const responder_ptr& response) {
+  ++call_count_;
   switch (state_) {
     case store_state::kServing:
       break;
@@ -96,7 +104,10 @@
       rows.push_back(std::move(item));
     }
   }
-  return {{"rows", std::move(rows)}, {"more-pages", false}, {"ver", version_}, {"now-ms", 1}};
+  return {{"rows", std::move(rows)},
+          {"more-pages", false},
+          {"ver", version_},
+          {"now-ms", SteadyMilliseconds()}};
 }
 
 void store_emulator::HandleRowsGet(const incoming_request& request, const responder_ptr& response) {
@@ -153,7 +164,7 @@
       conditions, [&](const auto& item) { return current_version(item) == item["ver"]; });
   if (!conditions_hold) {
     response->SendWhole(kStatusConflict, {},
-                        nlohmann::json{{"ver", version_}, {"now-ms", 1}}.dump());
+                        nlohmann::json{{"ver", version_}, {"now-ms", SteadyMilliseconds()}}.dump());
     return;
   }
   ++version_;
@@ -163,7 +174,8 @@
   for (const nlohmann::json& item : call["remove"]) {
     Write(item["table"], item["key"], {.value = {}, .version = 0, .deleted = true});
   }
-  response->SendWhole(kStatusOk, {}, nlohmann::json{{"ver", version_}, {"now-ms", 1}}.dump());
+  response->SendWhole(kStatusOk, {},
+                      nlohmann::json{{"ver", version_}, {"now-ms", SteadyMilliseconds()}}.dump());
   AnswerWaitingFeeds();
 }
 
--- a/tests/emulator/store_emulator.h
+++ b/tests/emulator/store_emulator.h
@@ -41,6 +41,7 @@
   void Compact() { oldest_feed_version_ = version_; }
 
   std::size_t RowCount(const std::string& table) const;
+  std::uint64_t call_count() const { return call_count_; }
 
  private:
   struct row {
@@ -66,6 +67,7 @@
   asio::io_context& loop_;
   std::map<std::string, std::map<std::string, row>> tables_;
   std::uint64_t version_ = 1;
+  std::uint64_t call_count_ = 0;
   std::uint64_t oldest_feed_version_ = 0;
   store_state state_ = store_state::kServing;
   std::list<waiting_feed> waiting_feeds_;
--- a/tests/gateway/table_watcher_test.cc
+++ b/tests/gateway/table_watcher_test.cc
@@ -28,9 +28,11 @@
     asio::post(loop_, [done = std::move(done), result = results.front()] { done(result); });
     results.pop_front();
   }
+  void Cancel() override { ++cancellations; }
 
   std::deque<store_call_result> results;
   std::vector<std::string> targets;
+  int cancellations = 0;
 
  private:
   asio::io_context& loop_;
@@ -38,11 +40,11 @@
 
 class recording_listener final : public table_listener {
  public:
-  void OnTable(const std::vector<table_row>& rows, std::uint64_t version) override {
-    events.push_back(fmt::format("table {} rows at {}", rows.size(), version));
+  void OnTable(const std::vector<table_row>& rows, const table_position& position) override {
+    events.push_back(fmt::format("table {} rows at {}", rows.size(), position.version));
   }
-  void OnChanges(const std::vector<table_row>& rows) override {
-    events.push_back(fmt::format("{} changes", rows.size()));
+  void OnChanges(const std::vector<table_row>& rows, const table_position& position) override {
+    events.push_back(fmt::format("{} changes at {}", rows.size(), position.version));
   }
   void OnStoreLost(std::string_view) override { events.emplace_back("lost"); }
   void OnStoreRegained() override { events.emplace_back("regained"); }
@@ -61,12 +63,12 @@
 
 class table_watcher_test : public testing::Test {
  protected:
-  void Run() {
+  void Run(std::uint64_t known_version = 0) {
     watch_options options;
     options.initial_backoff = options.max_backoff = std::chrono::milliseconds(1);
     options.stale_read_delay = std::chrono::milliseconds(1);
     table_watcher watcher(loop, adapter, channel, "t", listener, options, 1);
-    watcher.Start();
+    watcher.Start(known_version);
     loop.run();
   }
 
@@ -81,7 +83,7 @@
 TEST_F(table_watcher_test, ReadsPagesAndWatchesFromTheFirstVersion) {
   channel.results = {Page(Row("a", 3), 7, true), Page(Row("b", 4), 9), Page(Row("c", 10), 10)};
   Run();
-  EXPECT_EQ(listener.events, (std::vector<std::string>{"table 2 rows at 7", "1 changes"}));
+  EXPECT_EQ(listener.events, (std::vector<std::string>{"table 2 rows at 7", "1 changes at 10"}));
   EXPECT_NE(channel.targets.at(1).find("from=a%00"), std::string::npos);
   EXPECT_NE(channel.targets.at(2).find("after=7"), std::string::npos);
   EXPECT_NE(channel.targets.at(3).find("after=10"), std::string::npos);
@@ -102,7 +104,7 @@
                      store_response{429, ""}, Page(Row("a", 6), 6)};
   Run();
   EXPECT_EQ(listener.events,
-            (std::vector<std::string>{"table 0 rows at 5", "lost", "regained", "1 changes"}));
+            (std::vector<std::string>{"table 0 rows at 5", "lost", "regained", "1 changes at 6"}));
   // The first call after a failure does not wait at the store.
   EXPECT_NE(channel.targets.at(4).find("wait-ms=0"), std::string::npos);
 }
@@ -115,5 +117,30 @@
   EXPECT_EQ(listener.events, (std::vector<std::string>{"lost", "regained", "table 0 rows at 1"}));
 }
 
+// Guards against a daemon that reads the whole table again, or misses changes, when it takes over
+// the reading from another daemon that told it the table.
+TEST_F(table_watcher_test, ResumesFromAKnownVersion) {
+  channel.results = {Page(Row("a", 31), 31)};
+  Run(30);
+  EXPECT_EQ(listener.events, (std::vector<std::string>{"1 changes at 31"}));
+  EXPECT_NE(channel.targets.at(0).find("after=30"), std::string::npos);
+  // A change that was made before must not wait for the store's next one.
+  EXPECT_NE(channel.targets.at(0).find("wait-ms=0"), std::string::npos);
+}
+
+// Guards against a call that is made while an abandoned one is pending, and against an abandoned
+// call whose result is applied.
+TEST_F(table_watcher_test, StopAbandonsThePendingCall) {
+  channel.results = {Page(Row("a", 3), 7)};
+  table_watcher watcher(loop, adapter, channel, "t", listener, {}, 1);
+  watcher.Start();
+  watcher.Stop();
+  loop.run();
+  EXPECT_EQ(channel.cancellations, 1);
+  EXPECT_TRUE(listener.events.empty());
+  watcher.Start(9);
+  EXPECT_NE(channel.targets.at(1).find("after=9"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
--- /dev/null
+++ b/tests/routing/source_selector_test.cc
@@ -0,0 +1,133 @@
+#include "tarragon/routing/source_selector.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <chrono>
+#include <ranges>
+#include <string>
+
+#include "routing/fake_relay_fleet.h"
+
+namespace tarragon::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using condition = fake_relay_fleet::condition;
+
+constexpr std::size_t kDomains = 5;
+
+/** The strictest time in which the users' relayed deployments want a change in force. */
+constexpr milliseconds kChangeBound{3000};
+
+class source_selector_sizes : public testing::TestWithParam<std::size_t> {};
+
+// Guards against a cost of calls to the store that grows with the number of daemons.
+TEST_P(source_selector_sizes, FewDaemonsReadTheStore) {
+  fake_relay_fleet fleet(GetParam(), kDomains, 1);
+  fleet.RunFor(seconds(5));
+  EXPECT_EQ(fleet.CountBehind(1), 0U);
+  const bool is_relayed = GetParam() > kMaxDirectReaders;
+  EXPECT_EQ(fleet.CountReading(), is_relayed ? kDomains : GetParam());
+  ++fleet.store_version;
+  fleet.RunFor(kChangeBound);
+  EXPECT_EQ(fleet.CountBehind(2), 0U);
+}
+
+// Guards against a reader that dies without notice, loses the store or its peers, and leaves its
+// failure domain with old rows.
+TEST_P(source_selector_sizes, ChangesArriveInTimeWhenAReaderFails) {
+  for (int fault = 0; fault < 4; ++fault) {
+    fake_relay_fleet fleet(GetParam(), kDomains, 1);
+    fleet.RunFor(seconds(5));
+    fake_relay_fleet::daemon& root = fleet.Root("domain-0");
+    root.state = fault == 0   ? condition::kSilent
+                 : fault == 1 ? condition::kKilled
+                              : condition::kRunning;
+    root.reaches_store = fault != 2;
+    root.reaches_peers = fault != 3;
+    ++fleet.store_version;
+    fleet.RunFor(kChangeBound);
+    // A reader that has lost the store itself cannot know; all others can.
+    const std::size_t expected = fault == 2 ? 1 : 0;
+    EXPECT_LE(fleet.CountBehind(2), expected) << "fault " << fault;
+    fleet.RunFor(seconds(10));
+    const bool is_relayed = GetParam() > kMaxDirectReaders;
+    EXPECT_LE(fleet.CountReading(), is_relayed ? kDomains + 3 : GetParam()) << "fault " << fault;
+  }
+}
+
+// Guards against a fleet that reads the store for ever after an outage in which all daemons went
+// to look at the store themselves.
+TEST_P(source_selector_sizes, ReadersAreFewAgainAfterAnOutage) {
+  fake_relay_fleet fleet(GetParam(), kDomains, 1);
+  fleet.RunFor(seconds(5));
+  fleet.store_serves = false;
+  fleet.RunFor(seconds(8));
+  fleet.store_serves = true;
+  ++fleet.store_version;
+  fleet.RunFor(seconds(2));
+  EXPECT_EQ(fleet.CountBehind(2), 0U);
+  fleet.RunFor(seconds(3));
+  EXPECT_EQ(fleet.CountReading(), GetParam() > kMaxDirectReaders ? kDomains : GetParam());
+}
+
+// Guards against a whole fleet that restarts and pages through the store daemon by daemon.
+TEST_P(source_selector_sizes, ARestartedFleetDoesNotReadTheStoreTwice) {
+  fake_relay_fleet fleet(GetParam(), kDomains, 1);
+  fleet.RunFor(seconds(5));
+  fleet.store_calls = 0;
+  std::ranges::for_each(fleet.daemons, [&](auto& entry) { fleet.StartDaemon(entry.second); });
+  fleet.RunFor(milliseconds(1000));
+  EXPECT_EQ(fleet.CountBehind(1), 0U);
+  EXPECT_LE(fleet.store_calls, GetParam() > kMaxDirectReaders ? 4 * kDomains : 4 * GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, source_selector_sizes, testing::Values(8, 64, 195, 390));
+
+// Guards against any combination of dead, cut off and restarted daemons after which a daemon that
+// reaches the store keeps old rows.
+RC_GTEST_PROP(SourceSelectorTest, EveryDaemonConverges, (std::uint64_t seed)) {
+  fake_relay_fleet fleet(64, 3, seed);
+  fleet.late_share = 0.2;
+  fleet.RunFor(seconds(4));
+  const int faults = *rc::gen::inRange(1, 12);
+  for (int i = 0; i < faults; ++i) {
+    auto chosen = fleet.daemons.begin();
+    std::advance(chosen, *rc::gen::inRange<int>(0, 64));
+    fake_relay_fleet::daemon& target =
+        *rc::gen::arbitrary<bool>() ? fleet.Root("domain-0") : chosen->second;
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        target.state = condition::kSilent;
+        break;
+      case 1:
+        target.state = condition::kKilled;
+        break;
+      case 2:
+        target.reaches_store = false;
+        break;
+      case 3:
+        target.reaches_peers = false;
+        break;
+      case 4:
+        fleet.StartDaemon(target);
+        break;
+      default:
+        target.reaches_store = target.reaches_peers = true;
+    }
+    fleet.store_version += 1;
+    fleet.RunFor(milliseconds(*rc::gen::inRange(50, 2000)));
+  }
+  ++fleet.store_version;
+  fleet.RunFor(seconds(6));
+  for (const fake_relay_fleet::daemon& known : fleet.daemons | std::views::values) {
+    if (known.state == condition::kRunning && known.reaches_store) {
+      RC_ASSERT(known.version == fleet.store_version);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace tarragon::routing
