Exchange loads over the relay tree, and spread requests over similar engines

The logs show that daemons chose engines without knowing of one another: a report of the loads went to 8 random daemons of 194, so that the median load known of others was 0, and daemons with the same picture chose the same of several equal engines.

Change: in relayed fleets each daemon tells each neighbor in the tree the load of all daemons on its own side of their link (load_exchange), within 10 ms of a send and every 50 ms otherwise; the roots of the failure domains exchange the loads of their trees. Every daemon knows the whole load at a cost that does not grow with the fleet. Datagrams keep crash suspects and departures. The picker adds up to 15 ms, the prefill of 100 tokens, at random for each request and engine.

Tests: sums are exact for every daemon after random loads and lost links; a change crosses each link once; requests at random daemons of 195 are placed evenly. Tests of the request handler that relied on 3 ms between two engines to fix the first choice now state a load that decides; their checks are unchanged.

--- a/include/tarragon/gateway/load_gossip.h
+++ b/include/tarragon/gateway/load_gossip.h
@@ -38,6 +38,12 @@
   /** Sets the addresses of the other daemons. */
   void SetPeers(const std::vector<std::string>& addresses);
 
+  /**
+   * Whether reports hold the loads, as they do in fleets small enough to tell every daemon. The
+   * other parts, which concern few endpoints, are always sent.
+   */
+  void SetCarriesLoads(bool carries_loads) { carries_loads_ = carries_loads; }
+
   /** Announces a leaving endpoint in the reports of the next `kDepartureLifetime`. */
   void OnEndpointLeaving(const routing::endpoint& endpoint);
 
@@ -68,7 +74,8 @@
   void Tick();
   void SendReport();
   routing::peer_report OwnReport();
-  static routing::endpoint_load_report MakeLoadReport(const routing::endpoint& known);
+  void AddDepartures(routing::peer_report& report);
+  void ApplyLoads();
 
   gateway_state& gateway_;
   asio::ip::udp::socket socket_;
@@ -93,6 +100,7 @@
   time_point last_sent_at_;
   asio::steady_timer report_timer_;
   bool report_scheduled_ = false;
+  bool carries_loads_ = true;
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/gateway/relay_connection.h
+++ b/include/tarragon/gateway/relay_connection.h
@@ -41,6 +41,8 @@
   /** Must not be called while `is_writing`: the caller sends the newest state once it may. */
   void Send(const relay_message& message);
   bool is_writing() const { return writing_; }
+  /** The connection has been established and not been closed. */
+  bool is_open() const { return open_; }
 
   void Close();
 
@@ -58,6 +60,7 @@
   std::array<char, 16384> buffer_{};
   std::string pending_;
   bool writing_ = false;
+  bool open_ = false;
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/gateway/relay_message.h
+++ b/include/tarragon/gateway/relay_message.h
@@ -9,12 +9,15 @@
 #include <vector>
 
 #include "tarragon/gateway/table_replica.h"
+#include "tarragon/routing/peer_loads.h"
 
 namespace tarragon::gateway {
 
-/** First message of a follower. */
+/** First message of the daemon that has opened the connection. */
 struct relay_subscription {
   std::string vm;
+  /** The sender is the root of another failure domain and wants loads only. */
+  bool is_root = false;
   /** Version of each table that the follower has; 0 if none. */
   std::vector<std::uint64_t> versions;
 };
@@ -27,7 +30,12 @@
   table_update update;
 };
 
-using relay_message = std::variant<relay_subscription, relay_update>;
+/** Loads of the sender's side of the connection that have changed. */
+struct relay_loads {
+  std::vector<routing::endpoint_load_report> changes;
+};
+
+using relay_message = std::variant<relay_subscription, relay_update, relay_loads>;
 
 /** Bytes of a frame before its payload: length and checksum. */
 inline constexpr std::size_t kFrameHeaderBytes = 12;
--- a/include/tarragon/gateway/relay_node.h
+++ b/include/tarragon/gateway/relay_node.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "tarragon/gateway/gateway_state.h"
+#include "tarragon/gateway/load_relay.h"
 #include "tarragon/gateway/relay_connection.h"
 #include "tarragon/gateway/table_replica.h"
 #include "tarragon/gateway/table_watcher.h"
@@ -36,7 +37,10 @@
  */
 class relay_node final : public relay_connection_listener {
  public:
-  relay_node(gateway_state& gateway, std::vector<relayed_table> tables, std::uint64_t seed);
+  relay_node(gateway_state& gateway,
+             std::vector<relayed_table> tables,
+             load_relay& loads,
+             std::uint64_t seed);
   ~relay_node() override;
 
   /** @param address `ip:port` to accept followers on. @return false if it cannot be bound. */
@@ -48,6 +52,9 @@
   /** Sets the daemons of the fleet. */
   void SetMembers(const std::vector<routing::relay_member>& members);
 
+  /** The fleet is so large that daemons follow one another. */
+  bool is_relayed() const { return selector_.plan().is_relayed; }
+
   /** Called when a replica has changed or its position was confirmed. */
   void OnReplicaChanged(std::size_t table);
 
@@ -56,6 +63,7 @@
   /** Further followers are turned away; they choose another source. */
   static constexpr std::size_t kMaxFollowers = 64;
 
+  /** A daemon that has connected to this one: a follower, or the root of another domain. */
   struct follower {
     std::shared_ptr<relay_connection> connection;
     std::string vm;
@@ -86,6 +94,7 @@
 
   gateway_state& gateway_;
   std::vector<relayed_table> tables_;
+  load_relay& loads_;
   routing::source_selector selector_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer timer_;
--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -75,6 +75,11 @@
    * some fleets a third of the engines is slow.
    */
   std::uint64_t unknown_pause_divisor = 4;
+  /**
+   * Range of a random addition to the score, different for each request and endpoint. Many daemons
+   * see the same loads, and would all choose the same of several similar endpoints.
+   */
+  double spread_ms = 15;
   /** Share of an engine's KV cache that predicted needs may fill before the engine is full. */
   double max_memory_share = 0.95;
 };
@@ -90,6 +95,8 @@
   std::chrono::milliseconds pause_objective{0};
   /** Failure domain that `PickCopyTarget` prefers; empty for no preference. */
   std::string preferred_failure_domain;
+  /** Random bits for the choice among similar endpoints; 0 for none. */
+  std::uint64_t entropy = 0;
   /** Ids of endpoints that must not be used, such as those that have failed the request. */
   std::vector<std::string> excluded;
 };
--- a/include/tarragon/routing/peer_loads.h
+++ b/include/tarragon/routing/peer_loads.h
@@ -24,6 +24,12 @@
   std::uint16_t min_slowness_percent = 0;
 };
 
+/** Adds the load of `report` to `sum`; of the estimates, the lowest known ones are kept. */
+void AddReport(endpoint_load_report& sum, const endpoint_load_report& report);
+
+/** Sets what is known about an endpoint from the other daemons. */
+void SetPeerReport(endpoint& known, const endpoint_load_report& sum);
+
 /** An endpoint that is leaving or has been removed. */
 struct endpoint_departure {
   /** XXH3 hash of the endpoint's id. */
--- a/include/tarragon/routing/relay_plan.h
+++ b/include/tarragon/routing/relay_plan.h
@@ -24,6 +24,8 @@
   bool is_relayed = false;
   /** Addresses of the daemons to follow, the preferred one first. */
   std::vector<std::string> sources;
+  /** If this daemon reads the store: roots of other failure domains to connect to. */
+  std::vector<std::string> peer_roots;
   /** Daemons between this one and the store, if all of them follow their first source. */
   std::size_t depth = 0;
   bool operator==(const relay_plan&) const = default;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -27,6 +27,7 @@
 #include "tarragon/gateway/event_log.h"
 #include "tarragon/gateway/gateway_state.h"
 #include "tarragon/gateway/load_gossip.h"
+#include "tarragon/gateway/load_relay.h"
 #include "tarragon/gateway/relay_node.h"
 #include "tarragon/gateway/request_handler.h"
 #include "tarragon/gateway/status_server.h"
@@ -145,10 +146,12 @@
                        daemon_replica,
                        MakeDaemonWatchOptions(),
                        MakeRandomSeed()),
+        loads(shared),
         relay(shared,
               {{"config", config_replica, config_watcher, true},
                {"endpoints", endpoint_replica, endpoint_watcher, true},
                {"daemons", daemon_replica, daemon_watcher, false}},
+              loads,
               MakeRandomSeed()),
         gossip(loop, shared),
         signals(loop),
@@ -160,7 +163,10 @@
     ApplyRetrySettings();
     shared.endpoints.SetLeavingListener(
         [this](const routing::endpoint_ptr& endpoint) { OnEndpointLeaving(endpoint); });
-    shared.on_request_sent = [this] { gossip.ScheduleReport(); };
+    shared.on_request_sent = [this] {
+      gossip.ScheduleReport();
+      loads.ScheduleExchange();
+    };
     shared.on_request_finished = [this] { ExitIfIdle(); };
   }
 
@@ -169,6 +175,7 @@
     std::ranges::transform(others, std::back_inserter(addresses), &routing::relay_member::address);
     gossip.SetPeers(addresses);
     relay.SetMembers(others);
+    gossip.SetCarriesLoads(!relay.is_relayed());
   }
 
   void ReadMembersAfter(std::chrono::milliseconds delay) {
@@ -361,6 +368,7 @@
   table_watcher config_watcher;
   table_watcher endpoint_watcher;
   table_watcher daemon_watcher;
+  load_relay loads;
   relay_node relay;
   load_gossip gossip;
   asio::signal_set signals;
@@ -422,6 +430,7 @@
     self.ReadMembersAfter(settings.first_start ? kFirstStartMembersDelay : kMembersDelay);
   }
   self.relay.Start();
+  self.loads.Start();
   return true;
 }
 
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -12,23 +12,13 @@
 #include <utility>
 
 #include "gateway/checksum.h"
+#include "gateway/load_serialization.h"
 #include "tarragon/base/hash.h"
+#include "tarragon/gateway/load_relay.h"
 #include "tarragon/gateway/socket_options.h"
 
 namespace tarragon::routing {
 
-template <class Archive>
-void serialize(Archive& archive, endpoint_load& load) {
-  archive(load.requests, load.tokens, load.unread_tokens, load.long_streams);
-}
-
-template <class Archive>
-void serialize(Archive& archive, endpoint_load_report& report) {
-  auto event_interval = static_cast<std::uint32_t>(report.event_interval.count());
-  archive(report.endpoint_hash, report.load, event_interval, report.min_slowness_percent);
-  report.event_interval = std::chrono::microseconds(event_interval);
-}
-
 template <class Archive>
 void serialize(Archive& archive, peer_report& report) {
   archive(report.daemon, report.started_unix_ms, report.sequence, report.endpoints, report.suspects,
@@ -139,7 +129,7 @@
           const auto report = DecodeReport({buffer_.data(), size});
           const time_point now = gateway_.time.Now();
           if (report && report->daemon != gateway_.own_vm && loads_.RecordReport(now, *report)) {
-            loads_.Apply(gateway_.endpoints);
+            ApplyLoads();
             for (const routing::endpoint_departure& departure : report->departures) {
               gateway_.endpoints.MarkLeaving(now, departure.endpoint_hash, departure.row_version);
             }
@@ -163,10 +153,16 @@
 
 void load_gossip::Tick() {
   loads_.DropExpired(gateway_.time.Now());
-  loads_.Apply(gateway_.endpoints);
+  ApplyLoads();
   SendReport();
 }
 
+void load_gossip::ApplyLoads() {
+  if (carries_loads_) {
+    loads_.Apply(gateway_.endpoints);
+  }
+}
+
 void load_gossip::OnEndpointLeaving(const routing::endpoint& endpoint) {
   departures_.push_back({{Hash64(endpoint.entry.id), endpoint.row_version}, gateway_.time.Now()});
   ScheduleReport();
@@ -185,20 +181,15 @@
   });
 }
 
-routing::endpoint_load_report load_gossip::MakeLoadReport(const routing::endpoint& known) {
-  constexpr double kPercent = 100;
-  constexpr double kMaxPercent = 60'000;
-  const duration event_interval = known.event_interval.OwnEstimate().value_or(duration(0));
-  const double least = std::min(kMaxPercent, kPercent * known.slowness.OwnMinimum().value_or(0));
-  return {Hash64(known.entry.id), known.own_load,
-          std::chrono::duration_cast<std::chrono::microseconds>(event_interval),
-          static_cast<std::uint16_t>(std::lround(least))};
-}
-
 routing::peer_report load_gossip::OwnReport() {
   routing::peer_report report;
   report.daemon = gateway_.own_vm;
   report.started_unix_ms = started_unix_ms_;
+  AddDepartures(report);
+  report.suspects = gateway_.suspects.LocalReports(gateway_.time.Now(), kMaxSuspects);
+  if (!carries_loads_) {
+    return report;
+  }
   // Endpoints with load come first. Measurements of idle endpoints fill the rest of the datagram,
   // round robin if they do not all fit.
   const auto is_loaded = [](const routing::endpoint& known) {
@@ -221,6 +212,10 @@
     }
     ++next;
   }
+  return report;
+}
+
+void load_gossip::AddDepartures(routing::peer_report& report) {
   std::erase_if(departures_, [now = gateway_.time.Now()](const known_departure& known) {
     return known.announced_at + kDepartureLifetime < now;
   });
@@ -229,8 +224,6 @@
       report.departures.push_back(known.departure);
     }
   }
-  report.suspects = gateway_.suspects.LocalReports(gateway_.time.Now(), kMaxSuspects);
-  return report;
 }
 
 void load_gossip::SendReport() {
@@ -238,6 +231,9 @@
     return;
   }
   routing::peer_report report = OwnReport();
+  if (!carries_loads_ && report.suspects.empty() && report.departures.empty()) {
+    return;
+  }
   const time_point now = gateway_.time.Now();
   const auto loaded = std::span(report.endpoints).first(loaded_endpoint_count_);
   const bool changed = !std::ranges::equal(loaded, last_sent_, [](const auto& a, const auto& b) {
--- a/src/gateway/relay_connection.cc
+++ b/src/gateway/relay_connection.cc
@@ -24,12 +24,14 @@
       self->Fail();
       return;
     }
+    self->open_ = true;
     self->Send(first);
     self->Read();
   });
 }
 
 void relay_connection::Accept() {
+  open_ = true;
   SetConnectionOptions(socket_);
   Read();
 }
@@ -91,6 +93,7 @@
 
 void relay_connection::Close() {
   listener_ = nullptr;
+  open_ = false;
   write_timer_.cancel();
   asio::error_code ignored;
   socket_.close(ignored);
--- a/src/gateway/relay_message.cc
+++ b/src/gateway/relay_message.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "gateway/checksum.h"
+#include "gateway/load_serialization.h"
 
 namespace tarragon::gateway {
 
@@ -32,7 +33,12 @@
 
 template <class Archive>
 void serialize(Archive& archive, relay_subscription& message) {
-  archive(message.vm, message.versions);
+  archive(message.vm, message.is_root, message.versions);
+}
+
+template <class Archive>
+void serialize(Archive& archive, relay_loads& message) {
+  archive(message.changes);
 }
 
 namespace {
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -33,9 +33,11 @@
 
 relay_node::relay_node(gateway_state& gateway,
                        std::vector<relayed_table> tables,
+                       load_relay& loads,
                        std::uint64_t seed)
     : gateway_(gateway),
       tables_(std::move(tables)),
+      loads_(loads),
       selector_(gateway.time.Now(), seed),
       acceptor_(gateway.loop),
       timer_(gateway.loop),
@@ -44,6 +46,7 @@
 relay_node::~relay_node() {
   CloseLink();
   for (const follower& known : followers_ | std::views::values) {
+    loads_.RemoveConnection(*known.connection);
     known.connection->Close();
   }
 }
@@ -78,7 +81,10 @@
                                        {"sources", plan.sources.size()}});
   selector_.SetPlan(gateway_.time.Now(), plan);
   // The replica that reports the members is still being updated.
-  asio::post(gateway_.loop, [this] { Update(); });
+  asio::post(gateway_.loop, [this] {
+    loads_.SetRoots(selector_.plan().peer_roots);
+    Update();
+  });
 }
 
 void relay_node::Accept() {
@@ -174,7 +180,7 @@
     link_address_.clear();
     return;
   }
-  relay_subscription subscription{.vm = gateway_.own_vm, .versions = {}};
+  relay_subscription subscription{.vm = gateway_.own_vm, .is_root = false, .versions = {}};
   std::ranges::transform(tables_, std::back_inserter(subscription.versions),
                          [](const relayed_table& table) {
                            const table_replica& replica = table.replica;
@@ -182,10 +188,12 @@
                          });
   link_ = std::make_shared<relay_connection>(asio::ip::tcp::socket(gateway_.loop), *this);
   link_->Connect(*target, subscription);
+  loads_.AddConnection(link_, routing::neighbor_kind::kTree);
 }
 
 void relay_node::CloseLink() {
   if (link_) {
+    loads_.RemoveConnection(*link_);
     link_->Close();
     link_.reset();
   }
@@ -206,6 +214,7 @@
         node.OnUpdate(std::move(update));
       }
     }
+    void operator()(const relay_loads& loads) const { node.loads_.OnLoads(connection, loads); }
   };
   std::visit(visitor{*this, connection}, std::move(message));
 }
@@ -243,6 +252,11 @@
   }
   follower& known = found->second;
   known.vm = std::move(message.vm);
+  loads_.AddConnection(known.connection, message.is_root ? routing::neighbor_kind::kRoot
+                                                         : routing::neighbor_kind::kTree);
+  if (message.is_root) {
+    return;
+  }
   known.sent = std::move(message.versions);
   known.sent.resize(tables_.size());
   known.pending.assign(tables_.size(), true);
@@ -291,6 +305,7 @@
       found != followers_.end() && !found->second.sent.empty()) {
     PushPending(found->second);
   }
+  loads_.OnWritable(connection);
 }
 
 void relay_node::OnRelayClosed(relay_connection& connection) {
@@ -301,6 +316,7 @@
     Update();
     return;
   }
+  loads_.RemoveConnection(connection);
   followers_.erase(&connection);
   gateway_.counters.Gauge("tarragon_gateway_relay_followers")
       .Set(static_cast<std::int64_t>(followers_.size()));
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -113,6 +113,7 @@
                             : nullptr;
   requirements.own_failure_domain = gateway_.own_failure_domain;
   requirements.pause_objective = admitted_.route->pause_objective;
+  requirements.entropy = gateway_.random();
   requirements.excluded = excluded_endpoints_;
   return requirements;
 }
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "tarragon/base/hash.h"
 #include "tarragon/routing/pause_predictor.h"
 
 namespace tarragon::routing {
@@ -20,6 +21,12 @@
          std::ranges::find(request.excluded, candidate.entry.id) == request.excluded.end();
 }
 
+/** @return a uniform value in [0, 1) for the request and the candidate; 0 without entropy. */
+double SpreadPoint(const endpoint& candidate, std::uint64_t entropy) {
+  constexpr double kHashRange = 18446744073709551616.0;
+  return entropy == 0 ? 0 : static_cast<double>(Hash64(candidate.entry.id, entropy)) / kHashRange;
+}
+
 std::optional<bool> PredictPauseMiss(const pause_predictor& predictor,
                                      const endpoint& candidate,
                                      const pick_request& request) {
@@ -92,6 +99,7 @@
   if (candidate.entry.failure_domain != request.own_failure_domain) {
     expected += options_.cross_domain_penalty_ms;
   }
+  expected += options_.spread_ms * SpreadPoint(candidate, request.entropy);
   if (now < candidate.listed_at + candidate.entry.warm_up) {
     expected += options_.warm_up_penalty_ms;
   }
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -21,6 +21,21 @@
 
 }  // namespace
 
+void AddReport(endpoint_load_report& sum, const endpoint_load_report& report) {
+  sum.load += report.load;
+  sum.event_interval = MinKnown(sum.event_interval, report.event_interval);
+  sum.min_slowness_percent = MinKnown(sum.min_slowness_percent, report.min_slowness_percent);
+}
+
+void SetPeerReport(endpoint& known, const endpoint_load_report& sum) {
+  known.peer_load = sum.load;
+  known.event_interval.SetPeerEstimate(
+      sum.event_interval.count() > 0 ? std::optional<duration>(sum.event_interval) : std::nullopt);
+  known.slowness.SetPeerMinimum(sum.min_slowness_percent > 0
+                                    ? std::optional(sum.min_slowness_percent / kPercent)
+                                    : std::nullopt);
+}
+
 bool peer_loads::RecordReport(time_point now, const peer_report& report) {
   received_report& known = reports_[report.daemon];
   const auto age = [](const peer_report& r) { return std::tie(r.started_unix_ms, r.sequence); };
@@ -42,21 +57,13 @@
   for (const received_report& known : reports_ | std::views::values) {
     for (const endpoint_load_report& reported : known.report.endpoints) {
       endpoint_load_report& sum = sums[reported.endpoint_hash];
-      sum.load += reported.load;
-      sum.event_interval = MinKnown(sum.event_interval, reported.event_interval);
-      sum.min_slowness_percent = MinKnown(sum.min_slowness_percent, reported.min_slowness_percent);
+      AddReport(sum, reported);
     }
   }
   for (const auto& [id, known] : registry.all()) {
     const auto found = sums.find(Hash64(id));
     const endpoint_load_report sum = found == sums.end() ? endpoint_load_report{} : found->second;
-    known->peer_load = sum.load;
-    known->event_interval.SetPeerEstimate(sum.event_interval.count() > 0
-                                              ? std::optional<duration>(sum.event_interval)
-                                              : std::nullopt);
-    known->slowness.SetPeerMinimum(sum.min_slowness_percent > 0
-                                       ? std::optional(sum.min_slowness_percent / kPercent)
-                                       : std::nullopt);
+    SetPeerReport(*known, sum);
   }
 }
 
--- a/src/routing/relay_plan.cc
+++ b/src/routing/relay_plan.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
+#include <ranges>
 #include <utility>
 
 #include "tarragon/base/hash.h"
@@ -29,11 +31,34 @@
   return ranked;
 }
 
+/**
+ * @return the roots of the other failure domains that `self` connects to; of two roots, the one
+ * with the lower address opens the connection.
+ */
+std::vector<std::string> FindPeerRoots(const std::vector<relay_member>& members,
+                                       const relay_member& self) {
+  std::map<std::string, ranked_member> roots;
+  for (const relay_member& member : members) {
+    if (member.failure_domain != self.failure_domain && !member.failure_domain.empty()) {
+      const ranked_member candidate{Hash64(member.address), member.address};
+      ranked_member& root = roots.try_emplace(member.failure_domain, candidate).first->second;
+      root = std::min(root, candidate);
+    }
+  }
+  std::vector<std::string> addresses;
+  for (const ranked_member& root : roots | std::views::values) {
+    if (self.address < root.address) {
+      addresses.push_back(root.address);
+    }
+  }
+  return addresses;
+}
+
 }  // namespace
 
 relay_plan MakeRelayPlan(const std::vector<relay_member>& members, const relay_member& self) {
   if (members.size() <= kMaxDirectReaders) {
-    return {.reads_store = true, .is_relayed = false, .sources = {}, .depth = 0};
+    return {.reads_store = true, .is_relayed = false, .sources = {}, .peer_roots = {}, .depth = 0};
   }
   const std::vector<ranked_member> ranked = RankDomain(members, self);
   const auto own =
@@ -42,6 +67,9 @@
   relay_plan plan;
   plan.reads_store = rank == 0;
   plan.is_relayed = true;
+  if (plan.reads_store) {
+    plan.peer_roots = FindPeerRoots(members, self);
+  }
   constexpr std::size_t kDeputy = 1;
   bool has_deputy = rank <= kDeputy;
   for (std::size_t position = rank; position > 0; ++plan.depth) {
