Let generations wait at the daemon while all engines are full

An engine that left took its queue along: 168 callers got a 502 after an engine had accepted and not run a request. Backups, which each long stream asked for at engines up to 95% full, took the memory that the running generations lacked. Engines did not know which requests are urgent.

Change: - overload_policy: while no engine has capacity, a generation waits at the daemon, up to three times its objective, and is then refused with a time to come back that is spread over one and a half objectives. Short requests may fill what long ones leave, and requests that are late anyway leave room for others. - Backups only at engines that are less than 60% full; at an engine's notice streams are copied as before. - The priority of the account, or of the route, goes to the engines as the request's priority. - A request counts for at most 40% of an engine's memory, so that the largest ones do not wait for ever. - An exception that a handler does not expect ends that handler and not the process. - Only complete events are progress of a stream; bodies without end are rejected at 4 MB, or at 64 KB once all responses together hold 16 MB; calls for copies have a time limit and a size limit; callers must send their bodies at 500 bytes a second on average after the idle timeout.

--- a/include/tarragon/gateway/endpoint_request.h
+++ b/include/tarragon/gateway/endpoint_request.h
@@ -23,6 +23,8 @@
   std::optional<std::uint64_t> last_event;
   /** Reference to the KV cache copy from which the endpoint continues; empty for none. */
   std::string kv_copy;
+  /** Rank among the requests of an engine, 0 first; empty for plain services. */
+  std::optional<int> priority = std::nullopt;
   /** Address of the engine that holds the backup of the KV cache; empty for none. */
   std::string backup_address;
 };
--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -66,6 +66,8 @@
   routing::endpoint_picker picker;
   policy::crash_suspects suspects;
   std::mt19937_64 random;
+  /** Bytes of responses that are being received and are not relayed yet. */
+  std::size_t buffered_response_bytes = 0;
   bool draining = false;
   /** The process writes its last responses and rejects new requests. */
   bool closing = false;
--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -33,6 +33,8 @@
   /** Present if the endpoint certainly did not run the request. */
   std::string not_run;
   std::string retry_after;
+  /** Rank of the request at an engine: 0 is admitted first and preempts the others. */
+  std::string request_priority;
   /** Address of the engine that holds the backup of the generation's KV cache. */
   std::string backup_engine;
   /** Reference to the KV cache copy from which a generation is resumed. */
--- a/include/tarragon/gateway/request_admission.h
+++ b/include/tarragon/gateway/request_admission.h
@@ -27,6 +27,8 @@
   std::string service_name;
   /** Empty on public routes without a key. */
   std::string account;
+  /** Of the client account if it has one, else of the route; 0 is the most urgent. */
+  int priority = 0;
   routing::work_size size;
   /** Hash of target, account and body; identifies repeated requests. */
   fingerprint content;
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -22,6 +22,7 @@
 #include "tarragon/gateway/stream_progress.h"
 #include "tarragon/http/message_reader.h"
 #include "tarragon/routing/load_reservation.h"
+#include "tarragon/routing/overload_policy.h"
 #include "tarragon/routing/recovery_planner.h"
 
 namespace tarragon::gateway {
@@ -46,6 +47,9 @@
   void EndForProcessExit();
 
  private:
+  /** Retry-After value of refusals for which there is no better estimate. */
+  static constexpr std::chrono::milliseconds kDefaultRetryAfter{400};
+
   // exchange_listener:
   void OnResponseHead(http::message_head head) override;
   void OnResponseBody(std::string_view bytes) override;
@@ -53,6 +57,12 @@
   void OnExchangeError(exchange_error error) override;
 
   void Dispatch();
+  /** Handles that no endpoint accepts work. */
+  void WaitForEndpoint();
+  /** Waits for an engine with capacity, or refuses the request. */
+  void WaitForCapacity();
+  void DispatchAfter(std::chrono::milliseconds delay);
+  routing::waiting_request DescribeWait() const;
   /** @param copy KV cache copy to resume from, if any. */
   void SendTo(const routing::endpoint_ptr& target, const std::optional<copy_location>& copy);
   routing::pick_request MakePickRequest() const;
@@ -66,6 +76,7 @@
   /** Logs the first event of a stream that was resumed at another engine. */
   void LogStreamResumed(duration pause);
   void FinishBufferedResponse();
+  void DropResponseBody();
   void HandleSendFailure(routing::send_failure failure, run_verdict verdict);
   void ExecuteStep(const routing::next_step& step, routing::send_failure failure);
   void ResumeFromCopy();
@@ -81,7 +92,9 @@
    * Ends a request that cannot be served: refuses it if it has certainly not run, aborts a started
    * response, and otherwise sends `unknown_status`.
    */
-  void FailRequest(std::string_view reason, int unknown_status);
+  void FailRequest(std::string_view reason,
+                   int unknown_status,
+                   std::chrono::milliseconds retry_after = kDefaultRetryAfter);
   void AbortResponse(std::string_view reason);
   void Finish(std::string_view outcome);
 
@@ -105,7 +118,8 @@
   routing::endpoint_ptr target_;
   routing::load_reservation reservation_;
   time_point sent_at_;
-  time_point last_bytes_at_;
+  /** Head of the response, or its last event. */
+  time_point last_progress_at_;
   bool skipping_response_ = false;
   bool streaming_ = false;
   http::message_head response_head_;
@@ -120,6 +134,8 @@
   int sends_without_progress_ = 0;
   /** Failed connects since the last event. */
   int failed_connects_ = 0;
+  /** The request has waited for an engine with capacity. */
+  bool waited_ = false;
   int runs_ = 0;
   run_verdict verdict_ = run_verdict::kNotRun;
   std::vector<std::string> excluded_endpoints_;
--- a/include/tarragon/gateway/standby_copy.h
+++ b/include/tarragon/gateway/standby_copy.h
@@ -64,6 +64,7 @@
 
   void Update();
   void Fail(std::string_view reason);
+  void AbandonCall(std::string_view reason);
 
   asio::io_context& loop_;
   const platform_adapter& adapter_;
@@ -72,6 +73,8 @@
   std::string request_id_;
   standby_listener* listener_;
   asio::steady_timer timer_;
+  /** Ends a call that the engine does not answer. */
+  asio::steady_timer call_timer_;
   std::shared_ptr<http_exchange> exchange_;
   int status_ = 0;
   std::string body_;
--- a/include/tarragon/http/event_splitter.h
+++ b/include/tarragon/http/event_splitter.h
@@ -25,7 +25,7 @@
 class event_splitter final {
  public:
   /** Maximum size of an event; a larger one is treated as an error of the sender. */
-  static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
+  static constexpr std::size_t kMaxEventBytes = std::size_t{128} << 10;
 
   /** Appends all events that are complete. @return false if an incomplete event is too large. */
   bool Feed(std::string_view bytes, std::vector<raw_event>& events);
--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -82,6 +82,16 @@
   double spread_ms = 15;
   /** Share of an engine's KV cache that predicted needs may fill before the engine is full. */
   double max_memory_share = 0.95;
+  /**
+   * Same for an engine that is to hold a backup. Backups are precautions: where memory is scarce,
+   * it serves generations, and those of a leaving engine are copied at its notice.
+   */
+  double max_backup_memory_share = 0.6;
+  /**
+   * Share of an engine's KV cache up to which the size of a request is considered. A larger request
+   * would hardly ever find that much free memory at a busy engine, and would never run.
+   */
+  double max_considered_share = 0.4;
 };
 
 /** A request for which an endpoint is to be picked. */
@@ -95,6 +105,8 @@
   std::chrono::milliseconds pause_objective{0};
   /** Failure domain that `PickCopyTarget` prefers; empty for no preference. */
   std::string preferred_failure_domain;
+  /** Share of an engine's KV cache that the request may fill; empty for the picker's own. */
+  std::optional<double> memory_share;
   /** Random bits for the choice among similar endpoints; 0 for none. */
   std::uint64_t entropy = 0;
   /** Ids of endpoints that must not be used, such as those that have failed the request. */
@@ -149,11 +161,17 @@
                                                   const endpoint& candidate,
                                                   const pick_request& request);
 
+  /** @return whether a request of this size may have a long output. */
+  bool IsLongOutput(const work_size& size) const;
+
   /** @return whether the request may have a long output and has a pause objective. */
   bool IsLongStream(const pick_request& request) const;
 
  private:
-  bool HasCapacity(const endpoint& candidate, const pick_request& request) const;
+  /** @param memory_share share of an engine's KV cache that may be filled. */
+  bool HasCapacity(const endpoint& candidate,
+                   const pick_request& request,
+                   double memory_share) const;
   /** @return predicted time until the answer begins plus the penalties; the lowest score wins. */
   double ScoreMs(time_point now,
                  const endpoint& candidate,
--- /dev/null
+++ b/include/tarragon/routing/overload_policy.h
@@ -0,0 +1,51 @@
+#ifndef TARRAGON_ROUTING_OVERLOAD_POLICY_H_
+#define TARRAGON_ROUTING_OVERLOAD_POLICY_H_
+
+#include <chrono>
+#include <variant>
+
+#include "tarragon/base/clock.h"
+
+namespace tarragon::routing {
+
+/** A generation for which no engine has capacity. */
+struct waiting_request {
+  /** Time since the request was received. */
+  duration age{0};
+  /** Promised time to the first event. */
+  duration latency_objective{0};
+  /** Time until the deadline. */
+  duration remaining{0};
+  /** The request may have a long output, which occupies memory for seconds. */
+  bool is_long = false;
+};
+
+/** Look for an engine with capacity again after `delay`. */
+struct wait_for_capacity {
+  std::chrono::milliseconds delay{0};
+};
+/** Give the request up; the caller may come back after `retry_after`. */
+struct refuse_for_overload {
+  std::chrono::milliseconds retry_after{0};
+};
+using overload_decision = std::variant<wait_for_capacity, refuse_for_overload>;
+
+/**
+ * Decides what becomes of a generation while all engines are full, as after a burst of long
+ * prompts. It waits at the daemon rather than in the queue of an engine: it can still go to any
+ * engine that gets room, is not lost with an engine that leaves, and does not slow the running
+ * generations. Callers give up a stream without a first event at four times the objective, so that
+ * a request is refused before, while another try can still succeed.
+ * @param point uniform random value in [0, 1), which spreads retries and polls.
+ */
+overload_decision DecideWithoutCapacity(const waiting_request& request, double point);
+
+/**
+ * @return share of an engine's memory that the request may fill. Short requests may use what is
+ * left by long ones, and requests that can still meet their objective go before those that cannot.
+ */
+double AllowedMemoryShare(const waiting_request& request);
+
+}  // namespace tarragon::routing
+
+#endif  // TARRAGON_ROUTING_OVERLOAD_POLICY_H_
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -23,6 +23,9 @@
 /** Time added to the configured idle timeout, so that callers close idle connections first. */
 constexpr std::chrono::milliseconds kIdleMargin{500};
 
+/** Callers on slow links send bodies of some KB within seconds. */
+constexpr std::size_t kMinBodyBytesPerSecond = 500;
+
 std::string_view ReasonPhrase(int status) {
   switch (status) {
     case 200:
@@ -307,7 +310,14 @@
   if (in_head) {
     return message_start_ + limits_.header_timeout;
   }
-  return last_activity_ + limits_.idle_timeout + kIdleMargin;
+  const time_point idle_end = last_activity_ + limits_.idle_timeout + kIdleMargin;
+  if (!reader_.is_inside_message()) {
+    return idle_end;
+  }
+  // A body may be slow, but not one byte now and then for ever.
+  const auto body_time = std::chrono::seconds(request_.body.size() / kMinBodyBytesPerSecond);
+  return std::min(idle_end,
+                  message_start_ + limits_.header_timeout + limits_.idle_timeout + body_time);
 }
 
 void caller_connection::ArmTimer() {
--- a/src/gateway/endpoint_request.cc
+++ b/src/gateway/endpoint_request.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** Engines know the priorities 0 to 9. */
+constexpr int kLastPriority = 9;
+
 /** Chunked bodies have been received in full and are sent with a Content-Length. */
 bool HasBody(const caller_request& request) {
   return !request.body.empty() || request.head.headers.Find("Content-Length") != nullptr ||
@@ -35,6 +38,9 @@
   set_if_present(names.last_event_id, added.last_event ? std::to_string(*added.last_event) : "");
   set_if_present(names.kv_copy, added.kv_copy);
   set_if_present(names.backup_engine, added.backup_address);
+  set_if_present(
+      names.request_priority,
+      added.priority ? std::to_string(std::clamp(*added.priority, 0, kLastPriority)) : "");
   std::string wire = fmt::format("{} {} HTTP/1.1\r\n", request.head.method, request.head.target);
   headers.AppendTo(wire);
   if (HasBody(request)) {
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -11,6 +11,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
+#include <exception>
 #include <iterator>
 #include <random>
 #include <string>
@@ -435,7 +436,16 @@
 }
 
 void gateway_process::Run() {
-  state_->loop.run();
+  // An error that a handler did not expect ends what that handler did, not the other requests.
+  for (bool running = true; running;) {
+    try {
+      state_->loop.run();
+      running = false;
+    } catch (const std::exception& error) {
+      state_->counters.Counter("tarragon_gateway_unexpected_errors_total").Add();
+      state_->log.LogState("unexpected_error", {{"error", error.what()}});
+    }
+  }
   state_->log.Flush();
 }
 
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -60,13 +60,17 @@
                                      const caller_request& request,
                                      std::string_view request_id,
                                      const routing::route& route,
-                                     std::string account) {
+                                     const routing::client_account* account) {
   const header_names& names = gateway.adapter.names();
   const http::header_list& headers = request.head.headers;
   admitted_request admitted;
   admitted.config = gateway.config;
   admitted.route = &route;
-  admitted.account = std::move(account);
+  if (account != nullptr) {
+    admitted.account = account->name;
+  }
+  admitted.priority =
+      account != nullptr ? account->priority.value_or(route.priority) : route.priority;
   std::chrono::milliseconds allowed = route.timeout;
   if (const auto wanted = ParseInteger(headers.Find(names.deadline)); wanted && *wanted >= 0) {
     allowed = std::min(allowed, std::chrono::milliseconds(*wanted));
@@ -102,18 +106,14 @@
   if (route == nullptr) {
     return rejected_request{kNotFound, "no_route", std::nullopt};
   }
-  std::string account;
+  const routing::client_account* account = nullptr;
   if (gateway.config->requires_api_key()) {
-    const routing::client_account* known =
-        gateway.config->FindAccount(gateway.adapter.ReadApiKey(headers));
-    if (known != nullptr) {
-      account = known->name;
-    } else if (!route->is_public) {
+    account = gateway.config->FindAccount(gateway.adapter.ReadApiKey(headers));
+    if (account == nullptr && !route->is_public) {
       return rejected_request{kUnauthorized, "unknown_key", std::nullopt};
     }
   }
-  admitted_request admitted =
-      MakeAdmittedRequest(gateway, request, request_id, *route, std::move(account));
+  admitted_request admitted = MakeAdmittedRequest(gateway, request, request_id, *route, account);
   if (gateway.suspects.IsRefused(admitted.content)) {
     return rejected_request{kUnavailable, "crashes_endpoints", kSuspectRetryAfter};
   }
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -24,16 +24,19 @@
 constexpr int kGatewayTimeout = 504;
 
 /** Responses of plain services are a few KB; a larger response than this is rejected. */
-constexpr std::size_t kMaxBufferedResponseBytes = std::size_t{8} << 20;
+constexpr std::size_t kMaxBufferedResponseBytes = std::size_t{4} << 20;
+/**
+ * Endpoints in trouble may send bytes without end. The responses being received may fill this much
+ * of a small VM's memory; beyond it, those above `kAssuredResponseBytes` are rejected.
+ */
+constexpr std::size_t kMaxBufferedBytesOfAllResponses = std::size_t{16} << 20;
+constexpr std::size_t kAssuredResponseBytes = std::size_t{64} << 10;
 
 /** Cooldown of an endpoint that declined a request, in which its queue can shrink. */
 constexpr std::chrono::milliseconds kDeclineCooldown{100};
 /** Cooldown after a failed connect or silence; a crashed endpoint is down for seconds. */
 constexpr std::chrono::milliseconds kFailureCooldown{1000};
 
-/** Retry-After value of refusals for which there is no better estimate. */
-constexpr std::chrono::milliseconds kDefaultRetryAfter{400};
-
 /** Interval between attempts to pick an endpoint for a request while none is available. */
 constexpr std::chrono::milliseconds kPickRetryInterval{50};
 
@@ -114,6 +117,7 @@
   requirements.own_failure_domain = gateway_.own_failure_domain;
   requirements.pause_objective = admitted_.route->pause_objective;
   requirements.entropy = gateway_.random();
+  requirements.memory_share = AllowedMemoryShare(DescribeWait());
   requirements.excluded = excluded_endpoints_;
   return requirements;
 }
@@ -126,16 +130,16 @@
     OnTimer();
     return;
   }
+  const routing::pick_request wanted = MakePickRequest();
   const routing::pick_result pick =
-      gateway_.picker.Pick(gateway_.time.Now(), gateway_.endpoints, MakePickRequest());
+      gateway_.picker.Pick(gateway_.time.Now(), gateway_.endpoints, wanted);
   if (!pick.chosen) {
-    if (Age() >= admitted_.route->latency_objective / 2) {
-      FailRequest("no_endpoint", kBadGateway);
-      return;
-    }
-    auto retry_timer = std::make_shared<asio::steady_timer>(gateway_.loop, kPickRetryInterval);
-    retry_timer->async_wait(
-        [self = shared_from_this(), retry_timer](const asio::error_code&) { self->Dispatch(); });
+    WaitForEndpoint();
+    return;
+  }
+  // A stream that has begun goes on at once, as its caller waits for the next event.
+  if (!pick.has_capacity && wanted.engine != nullptr && !response_started_) {
+    WaitForCapacity();
     return;
   }
   SendTo(pick.chosen, std::nullopt);
@@ -166,17 +170,21 @@
                    .unread_tokens = copy ? 0 : admitted_.size.prompt_tokens,
                    .long_streams = is_long ? 1U : 0U}};
   ++sends_;
-  sent_at_ = last_bytes_at_ = gateway_.time.Now();
+  sent_at_ = last_progress_at_ = gateway_.time.Now();
   skipping_response_ = false;
   streaming_ = false;
-  response_body_.clear();
+  DropResponseBody();
   stream_.BeginSend();
   added_headers added{.endpoint_id = target->entry.id,
                       .remaining_time = RemainingTime(),
                       .account = admitted_.account,
                       .last_event = stream_.last_event(),
                       .kv_copy = copy ? copy->reference : "",
+                      .priority = {},
                       .backup_address = {}};
+  if (admitted_.service != nullptr && admitted_.service->engine) {
+    added.priority = admitted_.priority;
+  }
   if (admitted_.route->kind == routing::repeat_kind::kStream) {
     added.backup_address = copies_->BeginSend(target, MakePickRequest());
   }
@@ -189,6 +197,44 @@
   }
 }
 
+void request_handler::DispatchAfter(std::chrono::milliseconds delay) {
+  auto retry_timer = std::make_shared<asio::steady_timer>(gateway_.loop, delay);
+  retry_timer->async_wait(
+      [self = shared_from_this(), retry_timer](const asio::error_code&) { self->Dispatch(); });
+}
+
+void request_handler::WaitForEndpoint() {
+  if (Age() >= admitted_.route->latency_objective / 2) {
+    FailRequest("no_endpoint", kBadGateway);
+    return;
+  }
+  DispatchAfter(kPickRetryInterval);
+}
+
+routing::waiting_request request_handler::DescribeWait() const {
+  return {.age = Age(),
+          .latency_objective = admitted_.route->latency_objective,
+          .remaining = RemainingTime(),
+          .is_long = gateway_.picker.IsLongOutput(admitted_.size)};
+}
+
+void request_handler::WaitForCapacity() {
+  struct visitor {
+    request_handler& handler;
+    void operator()(routing::wait_for_capacity wait) const {
+      if (!std::exchange(handler.waited_, true)) {
+        handler.gateway_.counters.Counter("tarragon_gateway_capacity_waits_total").Add();
+      }
+      handler.DispatchAfter(wait.delay);
+    }
+    void operator()(routing::refuse_for_overload refusal) const {
+      handler.FailRequest("overload", kBadGateway, refusal.retry_after);
+    }
+  };
+  const double point = std::uniform_real_distribution<>(0, 1)(gateway_.random);
+  std::visit(visitor{*this}, DecideWithoutCapacity(DescribeWait(), point));
+}
+
 bool request_handler::IsResponseToThisRequest(const http::message_head& head) const {
   const std::string* echoed = head.headers.Find(gateway_.adapter.names().request_id);
   return echoed == nullptr || *echoed == id_;
@@ -196,13 +242,13 @@
 
 void request_handler::OnResponseHead(http::message_head head) {
   const auto self = shared_from_this();
-  last_bytes_at_ = gateway_.time.Now();
+  last_progress_at_ = gateway_.time.Now();
   skipping_response_ = !IsResponseToThisRequest(head);
   if (skipping_response_) {
     return;
   }
   if (const auto load = gateway_.adapter.ReadLoadReport(head.headers)) {
-    target_->slowness.Record(last_bytes_at_, load->slowness);
+    target_->slowness.Record(last_progress_at_, load->slowness);
   }
   response_head_ = std::move(head);
   const bool success = response_head_.status >= kOk && response_head_.status < kFirstRedirect;
@@ -223,13 +269,15 @@
   if (skipping_response_) {
     return;
   }
-  last_bytes_at_ = gateway_.time.Now();
   if (streaming_) {
     HandleStreamBytes(bytes);
     return;
   }
   response_body_.append(bytes);
-  if (response_body_.size() > kMaxBufferedResponseBytes) {
+  gateway_.buffered_response_bytes += bytes.size();
+  const bool memory_is_scarce = response_body_.size() > kAssuredResponseBytes &&
+                                gateway_.buffered_response_bytes > kMaxBufferedBytesOfAllResponses;
+  if (response_body_.size() > kMaxBufferedResponseBytes || memory_is_scarce) {
     HandleSendFailure(routing::send_failure::kBadAnswer, run_verdict::kMayHaveRun);
   }
 }
@@ -243,6 +291,8 @@
   if (batch->bytes.empty()) {
     return;
   }
+  // Only complete events are progress: a stalled engine may still send a byte now and then.
+  last_progress_at_ = gateway_.time.Now();
   const bool first_of_send = stream_.is_awaiting_first_event();
   RecordArrival(*batch);
   if (first_of_send) {
@@ -318,6 +368,11 @@
   Finish("completed");
 }
 
+void request_handler::DropResponseBody() {
+  gateway_.buffered_response_bytes -= response_body_.size();
+  response_body_.clear();
+}
+
 void request_handler::FinishBufferedResponse() {
   const header_names& names = gateway_.adapter.names();
   const bool not_run = response_head_.status == kMisdirected ||
@@ -487,11 +542,13 @@
   }
 }
 
-void request_handler::FailRequest(std::string_view reason, int unknown_status) {
+void request_handler::FailRequest(std::string_view reason,
+                                  int unknown_status,
+                                  std::chrono::milliseconds retry_after) {
   if (response_started_) {
     AbortResponse(reason);
   } else if (!exchange_ && verdict_ == run_verdict::kNotRun) {
-    Refuse(reason, kDefaultRetryAfter);
+    Refuse(reason, retry_after);
   } else {
     SendError(unknown_status, reason);
   }
@@ -531,6 +588,7 @@
     copies_->Release();
   }
   CloseExchange();
+  DropResponseBody();
   reservation_.Release();
   timer_.cancel();
   writer_ = nullptr;
@@ -592,7 +650,7 @@
   if (!admitted_.route->resumable || !may_run_again) {
     return std::nullopt;
   }
-  return stream_.has_begun() ? last_bytes_at_ + kStreamSilence
+  return stream_.has_begun() ? last_progress_at_ + kStreamSilence
                              : sent_at_ + 2 * admitted_.route->latency_objective;
 }
 
--- a/src/gateway/standby_copy.cc
+++ b/src/gateway/standby_copy.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
+#include <optional>
 #include <utility>
 
 namespace tarragon::gateway {
@@ -10,6 +12,12 @@
 
 constexpr int kOk = 200;
 
+/** Responses to these calls have some hundred bytes. */
+constexpr std::size_t kMaxResponseBytes = std::size_t{64} << 10;
+/** A copy of the longest prompt takes about a second, behind others on the same link. */
+constexpr std::chrono::seconds kCopyTimeout{10};
+constexpr std::chrono::seconds kFreeTimeout{5};
+
 /** Makes a call whose response is ignored, such as freeing a copy. */
 class fire_and_forget_call final : public exchange_listener,
                                    public std::enable_shared_from_this<fire_and_forget_call> {
@@ -18,6 +26,12 @@
     auto call = std::make_shared<fire_and_forget_call>();
     call->self_ = call;
     call->exchange_ = std::make_shared<http_exchange>(loop, *call);
+    call->timer_.emplace(loop, kFreeTimeout);
+    call->timer_->async_wait([call](const asio::error_code& error) {
+      if (!error) {
+        call->End();
+      }
+    });
     call->exchange_->Start(address, std::move(request), /*no_response_body=*/false);
   }
 
@@ -28,11 +42,13 @@
   void OnExchangeError(exchange_error) override { End(); }
   void End() {
     const auto self = std::exchange(self_, nullptr);
+    timer_->cancel();
     exchange_->Cancel();
   }
 
   std::shared_ptr<fire_and_forget_call> self_;
   std::shared_ptr<http_exchange> exchange_;
+  std::optional<asio::steady_timer> timer_;
 };
 
 }  // namespace
@@ -59,7 +75,8 @@
       target_address_(std::move(target_address)),
       request_id_(std::move(request_id)),
       listener_(&listener),
-      timer_(loop) {}
+      timer_(loop),
+      call_timer_(loop) {}
 
 void standby_copy::Start() {
   Update();
@@ -68,6 +85,7 @@
 void standby_copy::Cancel() {
   listener_ = nullptr;
   timer_.cancel();
+  call_timer_.cancel();
   if (exchange_) {
     exchange_->Cancel();
     exchange_.reset();
@@ -86,6 +104,12 @@
 void standby_copy::Update() {
   status_ = 0;
   body_.clear();
+  call_timer_.expires_after(kCopyTimeout);
+  call_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+    if (!error) {
+      self->AbandonCall("the engine does not answer");
+    }
+  });
   exchange_ = std::make_shared<http_exchange>(loop_, *this);
   exchange_->Start(
       source_address_,
@@ -99,10 +123,24 @@
 
 void standby_copy::OnResponseBody(std::string_view bytes) {
   body_.append(bytes);
+  if (body_.size() > kMaxResponseBytes) {
+    const auto self = shared_from_this();
+    AbandonCall("the engine's response is too long");
+  }
+}
+
+void standby_copy::AbandonCall(std::string_view reason) {
+  call_timer_.cancel();
+  if (exchange_) {
+    exchange_->Cancel();
+    exchange_.reset();
+    Fail(reason);
+  }
 }
 
 void standby_copy::OnResponseEnd() {
   const auto self = shared_from_this();
+  call_timer_.cancel();
   exchange_->Cancel();
   exchange_.reset();
   const decode_result<kv_copy> copy = adapter_.DecodeKvCopy(body_);
@@ -122,6 +160,7 @@
 
 void standby_copy::OnExchangeError(exchange_error) {
   const auto self = shared_from_this();
+  call_timer_.cancel();
   exchange_.reset();
   Fail("no valid response from the engine");
 }
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -46,20 +46,26 @@
                           request);
 }
 
-bool endpoint_picker::IsLongStream(const pick_request& request) const {
+bool endpoint_picker::IsLongOutput(const work_size& size) const {
   // The caller's estimate is often far too low, so the maximum output decides.
-  const std::uint32_t longest =
-      std::max(request.size.output_tokens, request.size.max_output_tokens);
-  return request.pause_objective.count() > 0 && longest >= options_.min_long_output_tokens;
+  return std::max(size.output_tokens, size.max_output_tokens) >= options_.min_long_output_tokens;
+}
+
+bool endpoint_picker::IsLongStream(const pick_request& request) const {
+  return request.pause_objective.count() > 0 && IsLongOutput(request.size);
 }
 
-bool endpoint_picker::HasCapacity(const endpoint& candidate, const pick_request& request) const {
+bool endpoint_picker::HasCapacity(const endpoint& candidate,
+                                  const pick_request& request,
+                                  double memory_share) const {
   const endpoint_load load = TotalLoad(candidate);
   if (request.engine == nullptr) {
     return load.requests < candidate.entry.slots;
   }
-  const double limit = options_.max_memory_share * request.engine->memory_tokens;
-  return load.requests < request.engine->slots && load.tokens + request.size.tokens() <= limit;
+  const double memory = request.engine->memory_tokens;
+  const double needed =
+      std::min<double>(request.size.tokens(), options_.max_considered_share * memory);
+  return load.requests < request.engine->slots && load.tokens + needed <= memory_share * memory;
 }
 
 double endpoint_picker::PausePenaltyMs(const endpoint_load& load,
@@ -116,7 +122,8 @@
     if (!IsUsable(now, *candidate, request)) {
       continue;
     }
-    const bool has_capacity = HasCapacity(*candidate, request);
+    const bool has_capacity =
+        HasCapacity(*candidate, request, request.memory_share.value_or(options_.max_memory_share));
     const std::chrono::duration<double, std::milli> expected{
         ScoreMs(now, *candidate, request, PredictPauseMiss(predictor, *candidate, request))};
     const bool better = !best.chosen || (has_capacity && !best.has_capacity) ||
@@ -158,11 +165,13 @@
   };
   const std::vector<endpoint_ptr>& candidates = registry.FindByService(request.service);
   const pause_predictor predictor(candidates);
+  const double memory_share = purpose == copy_purpose::kBackup ? options_.max_backup_memory_share
+                                                               : options_.max_memory_share;
   std::vector<choice> choices;
   std::uint64_t total = 0;
   for (const endpoint_ptr& candidate : candidates) {
     if (request.engine == nullptr || !IsUsable(now, *candidate, request) ||
-        !HasCapacity(*candidate, request)) {
+        !HasCapacity(*candidate, request, memory_share)) {
       continue;
     }
     const std::uint64_t weight = CopyTargetWeight(*candidate, request, purpose,
@@ -171,7 +180,8 @@
     total += weight;
   }
   if (choices.empty()) {
-    return Pick(now, registry, request);
+    // Without room, a standby copy is still worth a try, but a backup is not.
+    return purpose == copy_purpose::kBackup ? pick_result{} : Pick(now, registry, request);
   }
   std::uint64_t point = entropy % total;
   const auto chosen = std::ranges::find_if(choices, [&](const choice& candidate) {
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -156,5 +156,50 @@
   EXPECT_TRUE(gateway.open_requests.empty());
 }
 
+// Guards against a second copy of a response, sent late by an endpoint, that the next request on
+// the caller's connection gets (reported by operators of similar systems).
+TEST_F(caller_connection_test, SecondCopyOfAResponseReachesNobody) {
+  int requests = 0;
+  scripted_endpoint endpoint(loop, [&requests](auto& c) {
+    const std::string own = fmt::format(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nResponse-Signature: s\r\n"
+        "Content-Length: 5\r\n\r\nown-{}",
+        ++requests);
+    c.Send(own + own);
+  });
+  ListEndpoint("e1", "calls", endpoint.address());
+  raw_caller caller = Connect();
+  for (int request = 1; request <= 3; ++request) {
+    caller.Send(Request("GET", "/safe/1", "\r\n"));
+    ASSERT_TRUE(RunUntil([&] {
+      return caller.received().find(fmt::format("own-{}", request)) != std::string::npos;
+    }));
+  }
+  RunFor(std::chrono::milliseconds(50), [] { return false; });
+  for (int request = 1; request <= 3; ++request) {
+    const std::string text = fmt::format("own-{}", request);
+    EXPECT_EQ(caller.received().find(text), caller.received().rfind(text));
+  }
+}
+
+// Guards against a caller that sends a byte of its body now and then and holds its connection for
+// ever.
+TEST_F(caller_connection_test, StalledBodyEnds) {
+  routing::service_config_parts parts;
+  parts.version = 2;
+  parts.limits.header_timeout = std::chrono::milliseconds(100);
+  parts.limits.idle_timeout = std::chrono::milliseconds(300);
+  gateway.config = routing::service_config::Make(std::move(parts));
+  raw_caller caller = Connect();
+  caller.Send(Request("POST", "/unsafe/1", "Content-Length: 100000\r\n\r\n"));
+  EXPECT_TRUE(RunFor(std::chrono::milliseconds(3000), [&] {
+    if (!caller.ended()) {
+      caller.Send("x");
+    }
+    return caller.ended();
+  }));
+  EXPECT_THAT(caller.received(), HasSubstr("408"));
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -90,6 +90,12 @@
     return done();
   }
 
+  /** Runs the loop for `time` or until `done` returns true. @return whether it did. */
+  bool RunFor(std::chrono::milliseconds time, const std::function<bool()>& done) {
+    const auto limit = std::chrono::steady_clock::now() + time;
+    return RunUntil([&] { return done() || std::chrono::steady_clock::now() >= limit; }) && done();
+  }
+
   asio::io_context loop;
   real_clock time;
   platform::table_platform adapter;
--- a/tests/gateway/request_handler_test.cc
+++ b/tests/gateway/request_handler_test.cc
@@ -547,7 +547,8 @@
     ended.Close();
   }
   ListEndpoint("e9", "calls", alive.address());
-  gateway.endpoints.Find("e9")->own_load = {.requests = 3, .unread_tokens = 1000};  // the last choice
+  gateway.endpoints.Find("e9")->own_load = {.requests = 3,
+                                            .unread_tokens = 1000};  // the last choice
   gateway.SetBudgetOptions({0, 0, std::chrono::seconds(10)});
   const auto handler = Start("POST", "/unsafe/1", "b");
   ASSERT_TRUE(RunUntil([&] { return response.done(); }));
@@ -571,5 +572,90 @@
   EXPECT_EQ(crashing.connections.size(), 3U);
 }
 
+// Guards against an engine that stalls but sends a byte now and then, for which a stream waits
+// until its deadline (reported by operators of similar systems).
+TEST_F(request_handler_test, BytesWithoutAnEventAreNoProgress) {
+  scripted_endpoint stalls(loop, [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(1)); });
+  scripted_endpoint continues(
+      loop, [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(2) + std::string(kLastChunk)); });
+  ListEndpoint("e1", "engines", stalls.address());
+  ListEndpoint("e2", "engines", continues.address());
+  gateway.endpoints.Find("e2")->own_load = {.requests = 3, .unread_tokens = 1000};
+  const auto handler = Start("POST", "/short/1", "b", {{"Deadline-Ms", "60000"}});
+  ASSERT_TRUE(RunUntil([&] {
+    if (!stalls.connections.empty() && !stalls.connections[0]->closed_by_peer() &&
+        !response.body.empty() && !response.done()) {
+      stalls.connections[0]->Send("1\r\nx\r\n");
+    }
+    return response.done();
+  }));
+  EXPECT_TRUE(response.ended);
+  EXPECT_EQ(response.body, EventsText(1, 2));
+}
+
+// Guards against an endpoint that sends a body without end until the gateway's memory is full.
+TEST_F(request_handler_test, EndlessBodyIsRejected) {
+  scripted_endpoint endless(loop, [](auto& c) {
+    c.Send(fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Signature: s\r\n\r\n",
+                       kRequestId));
+  });
+  ListEndpoint("e1", "calls", endless.address());
+  const auto handler = Start("POST", "/unsafe/1", "b", {{"Deadline-Ms", "60000"}});
+  const std::string block(std::size_t{32} << 10, 'x');
+  ASSERT_TRUE(RunUntil([&] {
+    for (int i = 0; i < 4 && !endless.connections.empty() && !response.done(); ++i) {
+      endless.connections[0]->Send(block);
+      loop.poll();
+    }
+    return response.done();
+  }));
+  EXPECT_EQ(response.status, 502);
+  EXPECT_EQ(gateway.buffered_response_bytes, 0U);
+}
+
+// Guards against an endpoint that sends a head without end.
+TEST_F(request_handler_test, EndlessHeadIsRejected) {
+  scripted_endpoint endless(loop, [](auto& c) { c.Send("HTTP/1.1 200 OK\r\n"); });
+  ListEndpoint("e1", "calls", endless.address());
+  const auto handler = Start("POST", "/unsafe/1", "b", {{"Deadline-Ms", "60000"}});
+  ASSERT_TRUE(RunUntil([&] {
+    if (!endless.connections.empty() && !endless.connections[0]->closed_by_peer()) {
+      endless.connections[0]->Send("X-Filler: " + std::string(4000, 'x') + "\r\n");
+    }
+    return response.done();
+  }));
+  EXPECT_EQ(response.status, 502);
+}
+
+// Guards against a report that is sent into the queue of a full engine, where it is lost if the
+// engine leaves, instead of waiting for any engine that gets room.
+TEST_F(request_handler_test, WaitsWhileAllEnginesAreFull) {
+  scripted_endpoint engine(
+      loop, [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(1) + std::string(kLastChunk)); });
+  ListEndpoint("e1", "engines", engine.address());
+  gateway.endpoints.Find("e1")->peer_load = {.requests = 9, .tokens = 33'000};
+  const auto handler = Start("POST", "/report/1", "b", LongGeneration());
+  EXPECT_FALSE(RunFor(std::chrono::milliseconds(200), [&] { return response.done(); }));
+  EXPECT_TRUE(engine.connections.empty());
+  gateway.endpoints.Find("e1")->peer_load = {};
+  ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_EQ(response.body, EventsText(1, 1));
+}
+
+// Guards against a request that waits for an engine until its caller has given up, and against a
+// refusal that does not say when to come back.
+TEST_F(request_handler_test, RefusesWhileAnotherTryCanSucceed) {
+  scripted_endpoint engine(loop, [](auto&) {});
+  ListEndpoint("e1", "engines", engine.address());
+  gateway.endpoints.Find("e1")->peer_load = {.requests = 9, .tokens = 33'000};
+  const auto handler = Start("POST", "/report/1", "b", LongGeneration());
+  ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_EQ(response.status, 503);
+  EXPECT_TRUE(engine.connections.empty());
+  const std::string* retry_after = response.headers.Find("Retry-After");
+  ASSERT_NE(retry_after, nullptr);
+  EXPECT_GT(std::stod(*retry_after), 0);
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
