--- a/tests/emulator/gateway_fleet_test.cc
+++ b/tests/emulator/gateway_fleet_test.cc
@@ -80,6 +80,31 @@
   EXPECT_EQ(fleet.DescribeViolations(), "");
 }
 
+// Guards against requests that are cut off without an answer when a planned stop begins while they
+// arrive (reported by operators of similar systems).
+TEST(GatewayFleetTest, StopUnderLoadAnswersEveryRequest) {
+  constexpr int kRounds = 100;
+  constexpr int kStopRound = 25;
+  constexpr milliseconds kRoundTime{20};  // 2 s in all; the load balancer needs 2.5 s
+  fleet_emulator fleet({});
+  ASSERT_TRUE(fleet.WaitUntilServing());
+  std::vector<std::shared_ptr<caller>> sent;
+  for (int round = 0; round < kRounds; ++round) {
+    if (round == kStopRound) {
+      fleet.gateway(0).SendSignal(SIGTERM);
+    }
+    sent.push_back(fleet.SendRequest(call_kind::kRead, 0, 0));
+    sent.push_back(fleet.SendRequest(call_kind::kCommit, 0, 0));
+    sent.push_back(fleet.SendRequest(call_kind::kTag, kShortStreamEvents, 0));
+    fleet.RunFor(kRoundTime);
+  }
+  ASSERT_TRUE(fleet.RunUntil([&] { return AllRequestsDone(fleet); }, kTimeout));
+  EXPECT_EQ(std::ranges::count_if(
+                sent, [](const auto& call) { return !call->is_served() && !call->is_refused(); }),
+            0);
+  EXPECT_EQ(fleet.DescribeViolations(), "");
+}
+
 // Guards against a gateway that, started while the store is unreachable, responds with 401 or 404
 // or does not recover once the store is back.
 TEST(GatewayFleetTest, StartsWithoutTheStore) {
