Pause before accepting followers again after a failed accept

Cause: read in review. Without free file descriptors the relay's acceptor would have failed again at once and kept the event loop busy.

--- a/include/tarragon/gateway/relay_node.h
+++ b/include/tarragon/gateway/relay_node.h
@@ -98,6 +98,7 @@
   routing::source_selector selector_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer timer_;
+  asio::steady_timer accept_timer_;
   std::string own_address_;
   bool reading_ = false;
   std::shared_ptr<relay_connection> link_;
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -41,6 +41,7 @@
       selector_(gateway.time.Now(), seed),
       acceptor_(gateway.loop),
       timer_(gateway.loop),
+      accept_timer_(gateway.loop),
       link_store_times_(tables_.size()) {}
 
 relay_node::~relay_node() {
@@ -92,7 +93,17 @@
     if (!acceptor_.is_open() || error == asio::error::operation_aborted) {
       return;
     }
-    if (!error && followers_.size() < kMaxFollowers) {
+    if (error) {
+      // Without free file descriptors an immediate retry would fail as well.
+      accept_timer_.expires_after(kTickInterval);
+      accept_timer_.async_wait([this](const asio::error_code& cancelled) {
+        if (!cancelled) {
+          Accept();
+        }
+      });
+      return;
+    }
+    if (followers_.size() < kMaxFollowers) {
       const auto connection = std::make_shared<relay_connection>(std::move(socket), *this);
       followers_[connection.get()].connection = connection;
       connection->Accept();
