Give each linted source a cache key of its own where Ninja records relative paths

Cause: with CCACHE_BASEDIR set, the headers that Ninja records are relative to the build folder, so that lint.sh found no headers for any source and gave all of them the same key: one clean file let all others pass. Paths are now resolved, and the script fails if a source has no recorded headers or if two sources share a key.

Not tried with CCACHE_BASEDIR set.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -6,15 +6,23 @@
 build=$1 jobs=$2
 cache=$build/lint-cache
 mkdir -p "$cache"
-# Ninja records the headers of each object; the cache key covers only headers of this repository.
-ninja -C "$build" -t deps >"$cache/deps"
+
+# Lists each source with its headers, as paths relative to the repository. Ninja records the source
+# of an object before its headers; the paths are relative to the build folder if CCACHE_BASEDIR is set.
+ninja -C "$build" -t deps | awk '
+    /^[^ ].*: #deps/ { source = ""; next }
+    NF == 1 { if (source == "") { source = $1 } print source "\t" $1 }' >"$cache/pairs"
+resolve() { cut -f"$1" "$cache/pairs" | (cd "$build" && xargs -r realpath -m --relative-to="$OLDPWD"); }
+paste <(resolve 1) <(resolve 2) | awk -F'\t' '$2 !~ /^(\.\.|\/)/' | sort -u >"$cache/headers"
+
+# Prints the cache key of a source.
+key_of() {
+  awk -F'\t' -v source="$1" '$1 == source { print $2 }' "$cache/headers" |
+    xargs -r cat .clang-tidy "$1" | sha256sum | cut -d' ' -f1
+}
 lint_file() {
   local file=$1 key
-  key=$(awk -v source="/$file" -v root="$PWD/" '
-      /^[^ ].*: #deps/ { listed = 0; first = 1; next }
-      first { listed = (index($1, source) > 0 && substr($1, length($1) - length(source) + 1) == source); first = 0 }
-      listed && index($1, root) == 1 { print $1 }
-    ' "$cache/deps" | sort -u | xargs -r cat .clang-tidy "$file" | sha256sum | cut -d' ' -f1)
+  key=$(key_of "$file")
   [ -e "$cache/$key" ] && return 0
   # clang-tidy 14 cannot read the views of libstdc++ 12.
   if clang-tidy-16 -p "$build" --quiet "$file" 2>/dev/null; then
@@ -24,6 +32,19 @@
     return 1
   fi
 }
-export -f lint_file
+export -f key_of lint_file
 export build cache
-git ls-files -co --exclude-standard '*.cc' | xargs -P "$jobs" -I{} bash -c 'lint_file {}'
+
+sources=$(git ls-files -co --exclude-standard '*.cc')
+unrecorded=$(comm -23 <(sort -u <<<"$sources") <(cut -f1 "$cache/headers" | sort -u))
+if [ -n "$unrecorded" ]; then
+  echo "No recorded headers, so changes of headers would go unnoticed: $unrecorded"
+  exit 1
+fi
+# Two sources with one key would mean that the key does not cover the source.
+shared=$(xargs -P "$jobs" -I{} bash -c 'key_of {}' <<<"$sources" | sort | uniq -d)
+if [ -n "$shared" ]; then
+  echo "Different sources share a cache key of the linter: $shared"
+  exit 1
+fi
+xargs -P "$jobs" -I{} bash -c 'lint_file {}' <<<"$sources"
