--- a/tests/gateway/table_replica_test.cc
+++ b/tests/gateway/table_replica_test.cc
@@ -125,6 +125,7 @@
     }
     if (*rc::gen::inRange(0, 4) == 0) {
       std::vector<table_row> rows;
+      rows.reserve(store.size());
       for (const auto& [name, row_version] : store) {
         rows.push_back(Row(name, row_version));
       }
--- a/tests/routing/fake_relay_fleet.h
+++ b/tests/routing/fake_relay_fleet.h
@@ -49,6 +49,7 @@
 
   fake_relay_fleet(std::size_t size, std::size_t domains, std::uint64_t seed) : random_(seed) {
     std::vector<relay_member> members;
+    members.reserve(size);
     for (std::size_t i = 0; i < size; ++i) {
       members.push_back({fmt::format("10.{}.{}.1:7200", i / 100, i % 100),
                          fmt::format("domain-{}", i % domains)});
--- a/tests/routing/load_exchange_test.cc
+++ b/tests/routing/load_exchange_test.cc
@@ -41,6 +41,7 @@
  public:
   exchanging_fleet(std::size_t size, std::size_t domains) : daemons(size) {
     std::vector<relay_member> members;
+    members.reserve(size);
     std::map<std::string, std::size_t> index;
     for (std::size_t i = 0; i < size; ++i) {
       members.push_back({fmt::format("10.0.0.{}:7200", i), fmt::format("domain-{}", i % domains)});
@@ -104,6 +105,7 @@
   for (int step = 0; step < steps; ++step) {
     const auto daemon = *rc::gen::inRange<std::size_t>(0, kDaemons);
     std::vector<endpoint_load_report> own;
+    own.reserve(3);
     for (std::size_t engine = 0; engine < 3; ++engine) {
       loads[daemon][engine] = *rc::gen::inRange<std::uint32_t>(0, 3);
       own.push_back(Report(Hash64(fmt::format("engine-{:02}", engine)), loads[daemon][engine]));
@@ -159,6 +161,7 @@
   const engine_limits limits{24, 34'000, true, true};
   std::mt19937_64 random(1);
   std::vector<endpoint_registry> registries;
+  registries.reserve(fleet.daemons.size());
   for (std::size_t i = 0; i < fleet.daemons.size(); ++i) {
     registries.push_back(MakeRegistry(kEngines));
   }
@@ -177,6 +180,7 @@
     ++placed[chosen->entry.id];
     chosen->own_load += {.requests = 1, .tokens = 2216, .unread_tokens = 2200};
     std::vector<endpoint_load_report> own;
+    own.reserve(kEngines);
     for (const auto& [id, known] : registry.all()) {
       own.push_back({Hash64(id), known->own_load, std::chrono::microseconds(0), 0});
     }
--- a/tests/routing/relay_plan_test.cc
+++ b/tests/routing/relay_plan_test.cc
@@ -14,6 +14,7 @@
 
 std::vector<relay_member> MakeFleet(std::size_t size, std::size_t domains) {
   std::vector<relay_member> fleet;
+  fleet.reserve(size);
   for (std::size_t i = 0; i < size; ++i) {
     fleet.push_back(
         {fmt::format("10.0.{}.{}:7200", i / 200, i % 200), fmt::format("domain-{}", i % domains)});
