Log the prompt parts of requests and the crashes attributed to them

Adds the parts to request_sent, the line crash_suspected with the count and the time since the head of the response, and a counter. No decision changes.

Ruled out for this: deriving the parts from the request's size; requests with the same parts differ in it.

--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -112,6 +112,9 @@
   /** @return the API key in a request; empty if there is none. */
   virtual std::string_view ReadApiKey(const http::header_list& headers) const = 0;
   virtual generation_size ReadGenerationSize(const http::header_list& headers) const = 0;
+  /** @return ids of the parts of a generation's prompt, in their order; empty if none are stated.
+   */
+  virtual std::vector<std::string> ReadPromptParts(const http::header_list& headers) const = 0;
   /** @return empty if the response carries no readable load. */
   virtual std::optional<load_report> ReadLoadReport(const http::header_list& headers) const = 0;
 
--- a/include/tarragon/gateway/request_admission.h
+++ b/include/tarragon/gateway/request_admission.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "tarragon/base/clock.h"
 #include "tarragon/base/ids.h"
@@ -32,6 +33,8 @@
   routing::work_size size;
   /** Hash of target, account and body; identifies repeated requests. */
   fingerprint content;
+  /** Ids of the parts of the prompt that other requests may share, in their order. */
+  std::vector<std::string> shared_parts;
   /** The earlier of the caller's deadline and the route's timeout. */
   time_point deadline;
   /** Id of the last stream event that the caller has received. */
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -82,6 +82,8 @@
   void ResumeFromCopy();
   void RecordEndpointFailure(routing::send_failure failure);
   bool IsLikelyCrash(routing::send_failure failure) const;
+  /** @return time since the head of the response arrived; -1 ms if it has not. */
+  std::chrono::milliseconds AnswerAge() const;
 
   void RelayResponse();
   void Refuse(std::string_view reason, std::chrono::milliseconds retry_after);
@@ -120,6 +122,8 @@
   time_point sent_at_;
   /** Head of the response, or its last event. */
   time_point last_progress_at_;
+  /** Empty until the head of the response has arrived. */
+  std::optional<time_point> answer_begun_at_;
   bool skipping_response_ = false;
   bool streaming_ = false;
   http::message_head response_head_;
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -87,6 +87,11 @@
     const generation_size stated_size = gateway.adapter.ReadGenerationSize(headers);
     admitted.size = {stated_size.prompt_tokens, PredictedOutput(stated_size),
                      stated_size.max_output_tokens};
+    admitted.shared_parts = gateway.adapter.ReadPromptParts(headers);
+    if (!admitted.shared_parts.empty()) {
+      // The last part belongs to the request or its session alone.
+      admitted.shared_parts.pop_back();
+    }
   }
   admitted.content = {Hash64(request.body, Hash64(request.head.target, Hash64(admitted.account)))};
   return admitted;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -143,18 +143,20 @@
     return;
   }
   SendTo(pick.chosen, std::nullopt);
-  gateway_.log.LogRequest("request_sent", {{"request", id_},
-                                           {"route", admitted_.route->name},
-                                           {"config", admitted_.config->version()},
-                                           {"endpoint", target_->entry.id},
-                                           {"room", pick.has_capacity},
-                                           {"expected_ms", static_cast<int>(pick.expected.count())},
-                                           {"own", target_->own_load.requests},
-                                           {"others", target_->peer_load.requests},
-                                           {"tokens", admitted_.size.tokens()},
-                                           {"slowness", target_->slowness.Minimum().value_or(0)},
-                                           {"send", sends_},
-                                           {"left_ms", RemainingTime().count()}});
+  gateway_.log.LogRequest("request_sent",
+                          {{"request", id_},
+                           {"route", admitted_.route->name},
+                           {"config", admitted_.config->version()},
+                           {"endpoint", target_->entry.id},
+                           {"room", pick.has_capacity},
+                           {"expected_ms", static_cast<int>(pick.expected.count())},
+                           {"own", target_->own_load.requests},
+                           {"others", target_->peer_load.requests},
+                           {"tokens", admitted_.size.tokens()},
+                           {"parts", fmt::format("{}", fmt::join(admitted_.shared_parts, "/"))},
+                           {"slowness", target_->slowness.Minimum().value_or(0)},
+                           {"send", sends_},
+                           {"left_ms", RemainingTime().count()}});
 }
 
 void request_handler::SendTo(const routing::endpoint_ptr& target,
@@ -171,6 +173,7 @@
                    .long_streams = is_long ? 1U : 0U}};
   ++sends_;
   sent_at_ = last_progress_at_ = gateway_.time.Now();
+  answer_begun_at_.reset();
   skipping_response_ = false;
   streaming_ = false;
   DropResponseBody();
@@ -247,6 +250,7 @@
   if (skipping_response_) {
     return;
   }
+  answer_begun_at_ = last_progress_at_;
   if (const auto load = gateway_.adapter.ReadLoadReport(head.headers)) {
     target_->slowness.Record(last_progress_at_, load->slowness);
   }
@@ -433,6 +437,12 @@
   return progress;
 }
 
+std::chrono::milliseconds request_handler::AnswerAge() const {
+  return answer_begun_at_ ? std::chrono::floor<std::chrono::milliseconds>(gateway_.time.Now() -
+                                                                          *answer_begun_at_)
+                          : std::chrono::milliseconds(-1);
+}
+
 bool request_handler::IsLikelyCrash(routing::send_failure failure) const {
   return failure == routing::send_failure::kConnectionLost && !target_->leaving;
 }
@@ -450,6 +460,14 @@
   }
   if (IsLikelyCrash(failure)) {
     gateway_.suspects.RecordCrash(now, admitted_.content);
+    gateway_.counters.Counter("tarragon_gateway_suspected_crashes_total").Add();
+    gateway_.log.LogRequest("crash_suspected",
+                            {{"request", id_},
+                             {"endpoint", target_->entry.id},
+                             {"parts", fmt::format("{}", fmt::join(admitted_.shared_parts, "/"))},
+                             {"content", fmt::format("{:016x}", admitted_.content.value)},
+                             {"crashes", gateway_.suspects.ActiveCrashes(admitted_.content)},
+                             {"answer_ms", AnswerAge().count()}});
   }
 }
 
--- a/tests/platform/table_platform_test.cc
+++ b/tests/platform/table_platform_test.cc
@@ -108,6 +108,17 @@
   EXPECT_FALSE(kPlatform.ReadLoadReport(headers));
 }
 
+// Guards against crashes that are attributed to a wrong part of a prompt.
+TEST(TablePlatformTest, ReadsPromptParts) {
+  http::header_list headers;
+  EXPECT_TRUE(kPlatform.ReadPromptParts(headers).empty());
+  headers.Add("Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d");
+  EXPECT_EQ(kPlatform.ReadPromptParts(headers),
+            (std::vector<std::string>{"5c1e07a2", "91bd3f06", "e4402b7d"}));
+  headers.Set("Prompt-Prefix", ",:,");
+  EXPECT_TRUE(kPlatform.ReadPromptParts(headers).empty());
+}
+
 // Guards against keeping an endpoint whose row was deleted, and against reading rows of another
 // partition.
 TEST(TablePlatformTest, ReadsDeletedRows) {
