--- a/tests/emulator/caller.cc
+++ b/tests/emulator/caller.cc
@@ -41,7 +41,15 @@
     request += fmt::format("Event-Count: {}\r\nToken-Usage: {}\r\n", events_,
                            kind_ == call_kind::kReport ? kReportUsage : kTagUsage);
   }
-  request += "\r\n";
+  if (!prompt_parts_.empty()) {
+    request += fmt::format("Prompt-Prefix: {}\r\n", prompt_parts_);
+  }
+  if (is_stream()) {
+    // No two generations are alike.
+    request += fmt::format("Content-Length: {}\r\n\r\n{}", id_.size(), id_);
+  } else {
+    request += "\r\n";
+  }
   exchange_ = std::make_shared<gateway::http_exchange>(loop_, *this);
   exchange_->Start(address, std::move(request), /*no_response_body=*/false);
 }
--- a/tests/emulator/caller.h
+++ b/tests/emulator/caller.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "tarragon/gateway/http_exchange.h"
 
@@ -28,6 +29,8 @@
   /** @param events length of the stream; not used for plain calls. */
   caller(asio::io_context& loop, std::string id, call_kind kind, std::uint64_t events);
 
+  /** Sets the header that states the parts of the prompt; empty for none. */
+  void SetPromptParts(std::string parts) { prompt_parts_ = std::move(parts); }
   /** @param address of a gateway. */
   void Send(const std::string& address);
   /** Closes the connection before the response is complete. */
@@ -62,6 +65,7 @@
   std::string id_;
   call_kind kind_;
   std::uint64_t events_;
+  std::string prompt_parts_;
   std::shared_ptr<gateway::http_exchange> exchange_;
   int status_ = 0;
   bool has_signature_ = false;
--- a/tests/emulator/endpoint_emulator.cc
+++ b/tests/emulator/endpoint_emulator.cc
@@ -106,6 +106,9 @@
   added.events_made = ParseNumberOrZero(request.Header("Last-Event-Id"));
   added.backup_address = request.Header("Kv-Backup");
   added.response = response;
+  added.is_crashing =
+      !options_.crashing_part.empty() &&
+      request.Header("Prompt-Prefix").find(options_.crashing_part) != std::string::npos;
   const std::string copy = request.Header("Kv-From");
   if (!copy.empty() && kv_copies_.erase(copy.substr(copy.find('/') + 1)) == 0) {
     Decline(request, response, kStatusUnavailable);
@@ -130,6 +133,12 @@
   running_.remove_if([this](generation& run) {
     if (!std::exchange(run.head_sent, true)) {
       run.response->BeginStream(ResponseHeaders(run.request));
+      if (run.is_crashing) {
+        CrashSoon();
+      }
+    }
+    if (run.is_crashing) {
+      return false;
     }
     ++run.events_made;
     run.response->SendChunk(
@@ -152,6 +161,17 @@
   });
 }
 
+void endpoint_emulator::CrashSoon() {
+  constexpr std::chrono::milliseconds kDelay{30};
+  auto timer = std::make_shared<asio::steady_timer>(loop_, kDelay);
+  timer->async_wait([this, timer](const asio::error_code&) {
+    if (on_crash) {
+      // Moved, because the listener may destroy what it is called from.
+      std::exchange(on_crash, nullptr)();
+    }
+  });
+}
+
 void endpoint_emulator::CopyKvCache(const incoming_request& request,
                                     const responder_ptr& response) {
   const nlohmann::json call = nlohmann::json::parse(request.body, nullptr, false);
--- a/tests/emulator/endpoint_emulator.h
+++ b/tests/emulator/endpoint_emulator.h
@@ -5,6 +5,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <random>
@@ -35,6 +36,8 @@
   /** Processing time relative to the normal one, as reported to the gateways. */
   double reported_slowdown = 1;
   endpoint_faults faults;
+  /** The engine crashes once it has begun to answer a request with this prompt part. */
+  std::string crashing_part;
   std::uint64_t seed = 1;
 };
 
@@ -59,6 +62,8 @@
 
   /** Stops at once: resets all connections and loses all generations and copies. */
   void Crash();
+  /** Called when a request with the crashing part has crashed the engine. */
+  std::function<void()> on_crash;
 
  private:
   struct generation {
@@ -69,6 +74,8 @@
     responder_ptr response;
     /** The head of the response has been sent. */
     bool head_sent = false;
+    /** The engine crashes after the head of the response. */
+    bool is_crashing = false;
   };
 
   void Handle(const incoming_request& request, const responder_ptr& response);
@@ -78,6 +85,8 @@
   void Decline(const incoming_request& request, const responder_ptr& response, int status) const;
   void RecordRunEnd(const generation& run);
   void ProduceEvents();
+  /** Lets the gateways read the head of a response, and then crashes. */
+  void CrashSoon();
   bool ChooseWithProbability(double probability);
   std::vector<http::header> ResponseHeaders(const std::string& request) const;
 
--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -96,13 +96,32 @@
   options.seed = random_();
   if (service == kPlain) {
     options.faults = options_.plain_faults;
+  } else {
+    options.crashing_part = options_.crashing_part;
   }
   auto& group = service == kPlain ? plain_ : engines_;
   group.push_back(
       std::make_unique<endpoint_emulator>(loop_, std::move(options), record_, engines_by_address_));
+  group.back()->on_crash = [this, id = group.back()->id()] { OnEngineCrashed(id); };
   PublishEndpoint(*group.back(), service, /*leaving=*/false);
 }
 
+void fleet_emulator::OnEngineCrashed(const std::string& id) {
+  const auto crashed = std::ranges::find(engines_, id, &endpoint_emulator::id);
+  if (crashed == engines_.end()) {
+    return;
+  }
+  crashes_.push_back(time_.Now());
+  (*crashed)->Crash();
+  stopped_.push_back(std::move(*crashed));
+  engines_.erase(crashed);
+  auto timer = std::make_shared<asio::steady_timer>(loop_, options_.engine_restart);
+  timer->async_wait([this, timer, id](const asio::error_code&) {
+    store_.Remove("servers", id);
+    AddEndpoint(std::string(kEngines));
+  });
+}
+
 void fleet_emulator::PublishEndpoint(const endpoint_emulator& endpoint,
                                      const std::string& service,
                                      bool leaving) {
@@ -145,8 +164,10 @@
 
 std::shared_ptr<caller> fleet_emulator::SendRequest(call_kind kind,
                                                     std::uint64_t events,
-                                                    std::size_t gateway_index) {
+                                                    std::size_t gateway_index,
+                                                    const std::string& prompt_parts) {
   auto added = std::make_shared<caller>(loop_, fmt::format("{:016x}", random_()), kind, events);
+  added->SetPromptParts(prompt_parts);
   callers_.push_back(added);
   added->Send(gateway(gateway_index).callers_address());
   return added;
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -23,6 +23,10 @@
   std::size_t engines = 5;
   std::size_t plain_endpoints = 2;
   endpoint_faults plain_faults;
+  /** Prompt part that crashes each engine which begins to answer a request with it. */
+  std::string crashing_part;
+  /** Time after which a crashed engine is back as a new one. */
+  std::chrono::milliseconds engine_restart{1500};
   std::uint64_t seed = 1;
 };
 
@@ -44,10 +48,17 @@
   void WriteConfig();
   std::uint64_t config_version() const { return config_version_; }
 
-  /** Sends a request to a gateway. */
+  /**
+   * Sends a request to a gateway.
+   * @param prompt_parts value of the header that states the parts of the prompt, or empty.
+   */
   std::shared_ptr<caller> SendRequest(call_kind kind,
                                       std::uint64_t events,
-                                      std::size_t gateway_index);
+                                      std::size_t gateway_index,
+                                      const std::string& prompt_parts = {});
+  /** @return times at which engines crashed because of the crashing part. */
+  const std::vector<time_point>& crashes() const { return crashes_; }
+  time_point Now() const { return time_.Now(); }
 
   /** Adds an engine; another one announces that it leaves, and stops after `notice`. */
   void ReplaceEngine(std::chrono::milliseconds notice);
@@ -71,6 +82,8 @@
   void AddEndpoint(const std::string& service);
   void PublishEndpoint(const endpoint_emulator& endpoint, const std::string& service, bool leaving);
   std::unique_ptr<endpoint_emulator> RemoveRandomEngine();
+  /** The engine's entry stays in the list for a while, as after any crash. */
+  void OnEngineCrashed(const std::string& id);
 
   fleet_options options_;
   asio::io_context loop_{1};
@@ -88,6 +101,7 @@
   std::string folder_;
   std::uint64_t config_version_ = 0;
   std::uint64_t last_endpoint_ = 0;
+  std::vector<time_point> crashes_;
 };
 
 }  // namespace tarragon::emulator
--- a/tests/emulator/gateway_fleet_test.cc
+++ b/tests/emulator/gateway_fleet_test.cc
@@ -5,7 +5,12 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <memory>
+#include <numeric>
+#include <ranges>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "emulator/fleet_emulator.h"
@@ -174,6 +179,93 @@
   EXPECT_EQ(fleet.DescribeViolations(), "");
 }
 
+/** Sends the requests of one round; one in four has the part that crashes engines, if `crashing`.
+ */
+class prompt_part_traffic final {
+ public:
+  static constexpr std::string_view kCrashingPart = "dead";
+  static constexpr milliseconds kRoundTime{40};
+
+  explicit prompt_part_traffic(fleet_emulator& fleet) : fleet_(fleet) {}
+
+  void SendRound(bool crashing) {
+    constexpr int kMiddleParts = 6;
+    ++round_;
+    sound_.push_back(Send(fmt::format("aa:200,{}:140,1{:x}:900", round_ % kMiddleParts, round_)));
+    if (crashing && round_ % 3 == 0) {
+      crashing_.push_back(Send(fmt::format("aa:200,{}:140,2{:x}:900", kCrashingPart, round_)));
+    }
+    fleet_.RunFor(kRoundTime);
+  }
+
+  /** Sends rounds until `end`. */
+  void SendUntil(time_point end) {
+    while (fleet_.Now() < end) {
+      SendRound(/*crashing=*/true);
+    }
+  }
+
+  /** @return runs of all requests with the crashing part, repeats included. */
+  int CrashingRuns() const {
+    const auto runs = [this](const auto& sent) { return fleet_.record().RunCount(sent->id()); };
+    const auto counts = crashing_ | std::views::transform(runs);
+    return std::accumulate(counts.begin(), counts.end(), 0);
+  }
+  std::size_t sound_count() const { return sound_.size(); }
+  /** @return share of the sound requests from the given one on that were served. */
+  double ServedShare(std::size_t first) const {
+    const auto recent = std::span(sound_).subspan(first);
+    const auto served = std::ranges::count_if(recent, &caller::is_served);
+    return static_cast<double>(served) / static_cast<double>(recent.size());
+  }
+
+ private:
+  std::shared_ptr<caller> Send(const std::string& parts) {
+    return fleet_.SendRequest(call_kind::kTag, kShortStreamEvents,
+                              fleet_.random()() % fleet_.gateway_count(), parts);
+  }
+
+  fleet_emulator& fleet_;
+  int round_ = 0;
+  std::vector<std::shared_ptr<caller>> sound_;
+  std::vector<std::shared_ptr<caller>> crashing_;
+};
+
+// Guards against requests that crash every engine for as long as they come because they share
+// nothing but a part of their prompts, and against refusing sound requests together with them.
+TEST(GatewayFleetTest, CrashingPromptPartStopsReachingEngines) {
+  constexpr std::size_t kCrashes = 5;
+  constexpr milliseconds kContactTime{3000};
+  constexpr int kMaxFurtherRuns = 3;
+  fleet_options options;
+  options.gateways = 4;
+  options.engines = 8;
+  options.crashing_part = prompt_part_traffic::kCrashingPart;
+  fleet_emulator fleet(options);
+  ASSERT_TRUE(fleet.WaitUntilServing());
+  prompt_part_traffic traffic(fleet);
+  for (int round = 0; round < 25; ++round) {
+    traffic.SendRound(/*crashing=*/false);
+  }
+  fleet.RunFor(seconds(1));
+  ASSERT_GT(traffic.ServedShare(0), 0.9);
+
+  const time_point start = fleet.Now();
+  while (fleet.crashes().size() < kCrashes && fleet.Now() < start + kContactTime) {
+    traffic.SendRound(/*crashing=*/true);
+  }
+  const time_point last_crash = fleet.crashes().empty() ? start : fleet.crashes().back();
+  traffic.SendUntil(last_crash + kContactTime);
+  const int runs_before = traffic.CrashingRuns();
+  traffic.SendUntil(last_crash + 2 * kContactTime);
+  const std::size_t first_sound = traffic.sound_count();
+  traffic.SendUntil(last_crash + 3 * kContactTime);
+  fleet.RunFor(seconds(1));
+  EXPECT_LE(traffic.CrashingRuns() - runs_before, kMaxFurtherRuns);
+  EXPECT_GE(traffic.ServedShare(first_sound), 0.5);
+  EXPECT_EQ(fleet.DescribeViolations(), "");
+}
+
 /** Injects one fault of a random kind. */
 void InjectRandomFault(fleet_emulator& fleet) {
   constexpr std::uint64_t kFaultKinds = 8;
--- a/tests/gateway/request_handler_test.cc
+++ b/tests/gateway/request_handler_test.cc
@@ -572,6 +572,34 @@
   EXPECT_EQ(crashing.connections.size(), 3U);
 }
 
+// Guards against requests that share a part of their prompts, and nothing else, and crash engine
+// after engine; and against refusing the sound requests that share their other parts.
+TEST_F(request_handler_test, PromptPartThatCrashesEnginesIsRefused) {
+  constexpr int kCrashes = 3;
+  scripted_endpoint engine(loop, [](auto& c) {
+    c.Send(MakeStreamHead());
+    if (c.received().find("dead:9") != std::string::npos) {
+      c.Reset();
+      return;
+    }
+    c.Send(MakeEvent(1) + std::string(kLastChunk));
+  });
+  std::vector<int> statuses;
+  for (int i = 0; i <= kCrashes; ++i) {
+    ListEndpoint(fmt::format("e{}", i), "engines", engine.address());
+    const auto handler = Start("POST", "/report/1", fmt::format("body {}", i),
+                               {{"Prompt-Prefix", fmt::format("aa:7,dead:9,{}:50", i)}});
+    ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+    statuses.push_back(response.status);
+    response = {};
+  }
+  EXPECT_EQ(statuses, (std::vector<int>{502, 502, 502, 503}));
+  EXPECT_EQ(engine.connections.size(), kCrashes);
+  const auto sound = Start("POST", "/report/1", "body 9", {{"Prompt-Prefix", "aa:7,bb:9,9:50"}});
+  ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_EQ(response.status, 200);
+}
+
 // Guards against an engine that stalls but sends a byte now and then, for which a stream waits
 // until its deadline (reported by operators of similar systems).
 TEST_F(request_handler_test, BytesWithoutAnEventAreNoProgress) {
