Do not complete a stream that ends with its connection before the first event

What callers saw: with a response that has neither a length nor chunks, an engine that crashed after the head and whose connection was closed rather than reset looked like a complete, empty stream. The caller got a success, and the crash cleared the prompt parts of the request instead of counting against them.

Change: such a stream is handled as a lost connection. The tests for responses that end with their connection are new; the others (calls, resets, whole streams, streams that end inside an event, resumed ones) passed on the code before.

Ruled out: treating every stream without a length as broken; the platform sends sound ones.

Test: unframed_response_test.StreamWithoutAnEventIsNotComplete got 200 instead of 502 before.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -371,7 +371,10 @@
     FinishBufferedResponse();
     return;
   }
-  if (stream_.has_partial_event()) {
+  // A crash may close the connection, which looks like the end of a stream without a length.
+  const bool ended_without_event =
+      !response_head_.has_delimited_body && stream_.is_awaiting_first_event();
+  if (stream_.has_partial_event() || ended_without_event) {
     HandleSendFailure(routing::send_failure::kConnectionLost, run_verdict::kMayHaveRun);
     return;
   }
