Keep the quarantine in the store for daemons that start

What callers would see: after all gateways were killed at once, a prompt part that had been quarantined crashed endpoints again.

Change: a daemon that has seen one of the crashes writes the quarantined traits to its row in the table quarantine. A process that starts reads the rows once, unless its fleet starts for the first time. Cost: one read call a restart, and one write call for each quarantined trait and daemon that saw a crash.

--- a/include/tarragon/routing/crash_quarantine.h
+++ b/include/tarragon/routing/crash_quarantine.h
@@ -43,6 +43,12 @@
   bool operator==(const crash_record&) const = default;
 };
 
+/** A trait with which requests are refused. */
+struct quarantined_trait {
+  request_trait trait;
+  time_point since;
+};
+
 struct quarantine_options {
   /** Crashes after which a trait is quarantined. */
   std::size_t max_crashes = 3;
@@ -99,6 +105,8 @@
   /** @return a quarantined trait of the request, if any. */
   std::optional<request_trait> FindQuarantined(std::span<const request_trait> traits) const;
 
+  std::vector<quarantined_trait> Quarantined() const;
+
   bool HasUnsentChanges() const { return !unsent_.empty(); }
   /** @return changed records to tell the other daemons; each is returned twice. */
   std::vector<crash_record> TakeChanges(time_point now, std::size_t max_records);
@@ -148,7 +156,7 @@
   void RememberAnswered(time_point now, fingerprint trait);
   void DropOldestRecord();
   /** Decides anew which traits are quarantined. */
-  void Decide();
+  void Decide(time_point now);
   /** @return endpoints whose crashes are attributed to requests that they had begun to answer. */
   endpoint_set EndpointsWithBegunAnswer() const;
   std::size_t CountUnexplained(const trait_state& state,
@@ -166,9 +174,9 @@
   listener on_quarantined_;
   std::unordered_map<fingerprint, trait_state> traits_;
   std::size_t record_count_ = 0;
-  std::unordered_map<fingerprint, request_trait> quarantined_;
-  /** Traits that were quarantined by earlier processes, with the end of their quarantine. */
-  std::unordered_map<fingerprint, time_point> restored_;
+  std::unordered_map<fingerprint, quarantined_trait> quarantined_;
+  /** Traits that other processes have quarantined; their crashes may be unknown here. */
+  std::unordered_set<fingerprint> restored_;
   std::vector<unsent_record> unsent_;
   /** Answered traits; the older half is dropped when the newer one is full or old. */
   std::unordered_set<fingerprint> answered_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -30,6 +30,7 @@
 #include "tarragon/gateway/gateway_state.h"
 #include "tarragon/gateway/load_gossip.h"
 #include "tarragon/gateway/load_relay.h"
+#include "tarragon/gateway/quarantine_table.h"
 #include "tarragon/gateway/relay_node.h"
 #include "tarragon/gateway/request_handler.h"
 #include "tarragon/gateway/status_server.h"
@@ -108,6 +109,7 @@
         endpoint_connection(loop, settings.store_address),
         daemon_connection(loop, settings.store_address),
         registration_connection(loop, settings.store_address),
+        quarantine_connection(loop, settings.store_address),
         config_listener(shared),
         endpoint_listener(shared),
         daemons(loop,
@@ -156,6 +158,7 @@
               loads,
               MakeRandomSeed()),
         gossip(loop, shared),
+        quarantine(loop, shared, quarantine_connection, settings.peer_address),
         signals(loop),
         housekeeping_timer(loop),
         exit_timer(loop) {
@@ -174,6 +177,9 @@
       log.LogState("trait_quarantined", {{"trait", fmt::format("{:016x}", trait.id.value)},
                                          {"specificity", static_cast<int>(trait.specificity)},
                                          {"own", is_own}});
+      if (is_own && !settings.peer_address.empty()) {
+        quarantine.Save();
+      }
     });
   }
 
@@ -369,6 +375,7 @@
   store_connection endpoint_connection;
   store_connection daemon_connection;
   store_connection registration_connection;
+  store_connection quarantine_connection;
   config_updater config_listener;
   endpoint_updater endpoint_listener;
   daemon_table daemons;
@@ -381,6 +388,7 @@
   load_relay loads;
   relay_node relay;
   load_gossip gossip;
+  quarantine_table quarantine;
   asio::signal_set signals;
   asio::steady_timer housekeeping_timer;
   asio::steady_timer exit_timer;
@@ -437,6 +445,9 @@
   self.ScheduleHousekeeping();
   if (!settings.peer_address.empty()) {
     self.daemons.Register();
+    if (!settings.first_start) {
+      self.quarantine.Restore();
+    }
     self.ReadMembersAfter(settings.first_start ? kFirstStartMembersDelay : kMembersDelay);
   }
   self.relay.Start();
--- a/src/routing/crash_quarantine.cc
+++ b/src/routing/crash_quarantine.cc
@@ -45,7 +45,7 @@
       found->second.is_own = true;
     }
   }
-  Decide();
+  Decide(now);
 }
 
 void crash_quarantine::RecordAnswered(time_point now,
@@ -66,7 +66,7 @@
     }
   }
   if (changed) {
-    Decide();
+    Decide(now);
   }
 }
 
@@ -74,7 +74,7 @@
   const auto changes =
       std::ranges::count_if(records, [&](const crash_record& r) { return MergeRecord(now, r); });
   if (changes > 0) {
-    Decide();
+    Decide(now);
   }
 }
 
@@ -131,10 +131,17 @@
 }
 
 void crash_quarantine::Restore(time_point now, const request_trait& trait, duration age) {
-  if (age < options_.retention) {
-    restored_.insert_or_assign(trait.id, now + options_.retention - age);
-    quarantined_.insert_or_assign(trait.id, trait);
+  if (age >= options_.retention) {
+    return;
   }
+  restored_.insert(trait.id);
+  const auto [known, added] = quarantined_.try_emplace(trait.id, trait, now - age);
+  known->second.since = std::max(known->second.since, now - age);
+}
+
+std::vector<quarantined_trait> crash_quarantine::Quarantined() const {
+  const auto traits = quarantined_ | std::views::values;
+  return {traits.begin(), traits.end()};
 }
 
 std::optional<request_trait> crash_quarantine::FindQuarantined(
@@ -207,24 +214,26 @@
   return best;
 }
 
-void crash_quarantine::Decide() {
+void crash_quarantine::Decide(time_point now) {
   const endpoint_set begun = EndpointsWithBegunAnswer();
-  std::unordered_map<fingerprint, request_trait> culprits;
+  std::unordered_map<fingerprint, quarantined_trait> culprits;
   endpoint_set explained;
   for (const bool answered_before : {false, true}) {
     while (const auto found = FindCulprit(begun, explained, answered_before)) {
-      culprits.emplace(found->trait.id, found->trait);
+      culprits.emplace(found->trait.id, quarantined_trait{found->trait, now});
       std::ranges::copy(traits_.at(found->trait.id).crashes | std::views::keys,
                         std::inserter(explained, explained.end()));
     }
   }
-  for (const fingerprint id : restored_ | std::views::keys) {
+  for (const fingerprint id : restored_) {
     culprits.insert(*quarantined_.find(id));
   }
   std::swap(quarantined_, culprits);
-  for (const auto& [id, trait] : quarantined_) {
-    if (!culprits.contains(id) && on_quarantined_) {
-      on_quarantined_(trait, traits_.at(id).is_own);
+  for (auto& [id, known] : quarantined_) {
+    if (const auto earlier = culprits.find(id); earlier != culprits.end()) {
+      known.since = earlier->second.since;
+    } else if (on_quarantined_) {
+      on_quarantined_(known.trait, traits_.at(id).is_own);
     }
   }
 }
@@ -298,9 +307,11 @@
   }
   const std::size_t expired =
       std::erase_if(traits_, [](const auto& known) { return known.second.crashes.empty(); }) +
-      std::erase_if(restored_, [&](const auto& restored) { return restored.second <= now; });
+      std::erase_if(restored_, [&](fingerprint id) {
+        return now - quarantined_.at(id).since >= options_.retention;
+      });
   if (expired > 0) {
-    Decide();
+    Decide(now);
   }
 }
 
--- a/tests/emulator/gateway_fleet_test.cc
+++ b/tests/emulator/gateway_fleet_test.cc
@@ -266,6 +266,28 @@
   EXPECT_EQ(fleet.DescribeViolations(), "");
 }
 
+// Guards against a part that crashes endpoints again after all gateways were killed at once.
+TEST(GatewayFleetTest, QuarantineOutlivesTheLossOfAllGateways) {
+  fleet_options options;
+  options.engines = 8;
+  options.crashing_part = prompt_part_traffic::kCrashingPart;
+  fleet_emulator fleet(options);
+  ASSERT_TRUE(fleet.WaitUntilServing());
+  prompt_part_traffic traffic(fleet);
+  traffic.SendUntil(fleet.Now() + seconds(4));
+  ASSERT_EQ(fleet.FindInLogs("trait_quarantined").size(), fleet.gateway_count());
+  for (std::size_t i = 0; i < fleet.gateway_count(); ++i) {
+    fleet.gateway(i).Kill();
+  }
+  for (std::size_t i = 0; i < fleet.gateway_count(); ++i) {
+    fleet.gateway(i).Start();
+  }
+  ASSERT_TRUE(fleet.WaitUntilServing());
+  const int runs_before = traffic.CrashingRuns();
+  traffic.SendUntil(fleet.Now() + seconds(3));
+  EXPECT_EQ(traffic.CrashingRuns(), runs_before);
+}
+
 /** Injects one fault of a random kind. */
 void InjectRandomFault(fleet_emulator& fleet) {
   constexpr std::uint64_t kFaultKinds = 8;
--- a/tests/gateway/table_watcher_test.cc
+++ b/tests/gateway/table_watcher_test.cc
@@ -4,40 +4,16 @@
 #include <gtest/gtest.h>
 
 #include <asio/io_context.hpp>
-#include <asio/post.hpp>
-#include <deque>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "gateway/scripted_channel.h"
 #include "table_platform.h"
 
 namespace tarragon::gateway {
 namespace {
 
-/** Completes each call with the next scripted result; without one, the call stays pending. */
-class scripted_channel final : public store_channel {
- public:
-  explicit scripted_channel(asio::io_context& loop) : loop_(loop) {}
-
-  void Call(service_call call, std::chrono::milliseconds, callback done) override {
-    targets.push_back(call.target);
-    if (results.empty()) {
-      return;
-    }
-    asio::post(loop_, [done = std::move(done), result = results.front()] { done(result); });
-    results.pop_front();
-  }
-  void Cancel() override { ++cancellations; }
-
-  std::deque<store_call_result> results;
-  std::vector<std::string> targets;
-  int cancellations = 0;
-
- private:
-  asio::io_context& loop_;
-};
-
 class recording_listener final : public table_listener {
  public:
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override {
