Log the rate limits that endpoints name

Adds the line endpoint_limit where a limit begins or ends at a daemon, with its own sends of four seconds, and a gauge. No decision changes.

--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -118,6 +118,9 @@
   /** @return empty if the response carries no readable load. */
   virtual std::optional<load_report> ReadLoadReport(const http::header_list& headers) const = 0;
 
+  /** @return requests per second that the endpoint takes from all daemons; empty if not limited. */
+  virtual std::optional<double> ReadRateLimit(const http::header_list& headers) const = 0;
+
   /** Path of the readiness check on the readiness address. */
   virtual std::string_view ReadinessPath() const = 0;
 
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -69,6 +69,8 @@
   routing::pick_request MakePickRequest() const;
 
   bool IsResponseToThisRequest(const http::message_head& head) const;
+  /** Records the rate that the endpoint names in its answer, or that it names none. */
+  void RecordRateLimit(const http::message_head& head);
   void HandleStreamBytes(std::string_view bytes);
   /** Sends the head of a streamed response unless it has been sent. */
   void BeginResponse();
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -13,6 +13,7 @@
 
 #include "tarragon/base/clock.h"
 #include "tarragon/routing/event_interval_tracker.h"
+#include "tarragon/routing/rate_limit.h"
 #include "tarragon/routing/slowness_tracker.h"
 
 namespace tarragon::routing {
@@ -66,6 +67,8 @@
   slowness_tracker slowness;
   /** Time between two events of the endpoint's streams. */
   event_interval_tracker event_interval;
+  /** Rate at which the endpoint takes requests. */
+  rate_limit limit;
   /** Load from the requests of this daemon. */
   endpoint_load own_load;
   /** Sum of the loads that the other daemons reported last. */
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -15,6 +15,7 @@
 #include <exception>
 #include <iterator>
 #include <random>
+#include <ranges>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -273,6 +274,11 @@
       shared.quarantine.Validate();
       counters.Gauge("tarragon_gateway_quarantined_traits")
           .Set(static_cast<std::int64_t>(shared.quarantine.quarantined_count()));
+      const auto limited = [](const routing::endpoint_ptr& known) {
+        return known->limit.Named().has_value();
+      };
+      counters.Gauge("tarragon_gateway_limited_endpoints")
+          .Set(std::ranges::count_if(shared.endpoints.all() | std::views::values, limited));
       counters.Gauge("tarragon_gateway_open_requests")
           .Set(static_cast<std::int64_t>(shared.open_requests.size()));
       counters.Gauge("tarragon_gateway_config_version")
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -182,6 +182,7 @@
                    .long_streams = is_long ? 1U : 0U}};
   ++sends_;
   sent_at_ = last_progress_at_ = gateway_.time.Now();
+  target_->limit.RecordSend(sent_at_);
   crashes_.OnSent(target);
   skipping_response_ = false;
   streaming_ = false;
@@ -263,6 +264,7 @@
   if (const auto load = gateway_.adapter.ReadLoadReport(head.headers)) {
     target_->slowness.Record(last_progress_at_, load->slowness);
   }
+  RecordRateLimit(head);
   response_head_ = std::move(head);
   const bool success = response_head_.status >= kOk && response_head_.status < kFirstRedirect;
   if (!success) {
@@ -277,6 +279,22 @@
   streaming_ = admitted_.route->kind == routing::repeat_kind::kStream;
 }
 
+void request_handler::RecordRateLimit(const http::message_head& head) {
+  const std::optional<double> per_second = gateway_.adapter.ReadRateLimit(head.headers);
+  // Only the endpoint itself can say that it is no longer limited, not a proxy before it.
+  if (!per_second && head.headers.Find(gateway_.adapter.names().signature) == nullptr) {
+    return;
+  }
+  const time_point now = gateway_.time.Now();
+  if (target_->limit.RecordAnswer(now, per_second) != routing::limit_change::kNone) {
+    gateway_.log.LogRequest(
+        "endpoint_limit", {{"endpoint", target_->entry.id},
+                           {"per_second", per_second ? fmt::format("{:.3f}", *per_second) : "none"},
+                           {"own_sends", target_->limit.OwnSends(now)},
+                           {"request", id_}});
+  }
+}
+
 void request_handler::OnResponseBody(std::string_view bytes) {
   const auto self = shared_from_this();
   if (skipping_response_) {
--- a/tests/platform/table_platform_test.cc
+++ b/tests/platform/table_platform_test.cc
@@ -119,6 +119,18 @@
   EXPECT_TRUE(kPlatform.ReadPromptParts(headers).empty());
 }
 
+// Guards against a limit that is not seen, or is read from a damaged value.
+TEST(TablePlatformTest, ReadsARateLimit) {
+  http::header_list headers;
+  EXPECT_FALSE(kPlatform.ReadRateLimit(headers));
+  headers.Add("Server-Limit", "6.25");
+  EXPECT_EQ(kPlatform.ReadRateLimit(headers), 6.25);
+  for (const char* damaged : {"", "x", "-1", "nan", "inf", "3,4"}) {
+    headers.Set("Server-Limit", damaged);
+    EXPECT_FALSE(kPlatform.ReadRateLimit(headers)) << damaged;
+  }
+}
+
 // Guards against keeping an endpoint whose row was deleted, and against reading rows of another
 // partition.
 TEST(TablePlatformTest, ReadsDeletedRows) {
