--- a/tests/emulator/endpoint_emulator.cc
+++ b/tests/emulator/endpoint_emulator.cc
@@ -48,10 +48,15 @@
 
 std::vector<http::header> endpoint_emulator::ResponseHeaders(const std::string& request) const {
   constexpr double kPercent = 100;
-  return {{"Attempt-Id", request},
-          {"Response-Signature", options_.id},
-          {"Server-Load",
-           fmt::format("{},0,24,{:.0f}", running_.size(), kPercent * options_.reported_slowdown)}};
+  std::vector<http::header> headers = {
+      {"Attempt-Id", request},
+      {"Response-Signature", options_.id},
+      {"Server-Load",
+       fmt::format("{},0,24,{:.0f}", running_.size(), kPercent * options_.reported_slowdown)}};
+  if (rate_limit_) {
+    headers.push_back({"Server-Limit", fmt::format("{:.3f}", *rate_limit_)});
+  }
+  return headers;
 }
 
 void endpoint_emulator::Decline(const incoming_request& request,
@@ -73,9 +78,17 @@
     response->SendWhole(kStatusOk, {}, "{}");
   } else if (request.Header("Expect-Instance") != options_.id) {
     Decline(request, response, kStatusMisdirected);
-  } else if (ChooseWithProbability(options_.faults.declined)) {
+  } else {
+    HandleRequest(request, response);
+  }
+}
+
+void endpoint_emulator::HandleRequest(const incoming_request& request,
+                                      const responder_ptr& response) {
+  record_.RecordArrival(options_.id);
+  if (ChooseWithProbability(options_.faults.declined)) {
     Decline(request, response, kStatusUnavailable);
-  } else if (path.starts_with("/stream")) {
+  } else if (request.Path().starts_with("/stream")) {
     HandleGeneration(request, response);
   } else {
     HandleCall(request, response);
--- a/tests/emulator/endpoint_emulator.h
+++ b/tests/emulator/endpoint_emulator.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -60,6 +61,9 @@
   const std::string& id() const { return options_.id; }
   std::string address() const { return service_.address(); }
 
+  /** @param per_second rate that the endpoint names in its answers; empty for none. */
+  void SetRateLimit(std::optional<double> per_second) { rate_limit_ = per_second; }
+
   /** Stops at once: resets all connections and loses all generations and copies. */
   void Crash();
   /** Called when a request with the crashing part has crashed the engine. */
@@ -79,6 +83,8 @@
   };
 
   void Handle(const incoming_request& request, const responder_ptr& response);
+  /** Handles a request of a caller that is meant for this endpoint. */
+  void HandleRequest(const incoming_request& request, const responder_ptr& response);
   void HandleCall(const incoming_request& request, const responder_ptr& response);
   void HandleGeneration(const incoming_request& request, const responder_ptr& response);
   void CopyKvCache(const incoming_request& request, const responder_ptr& response);
@@ -94,6 +100,7 @@
   endpoint_options options_;
   execution_record& record_;
   directory& engines_;
+  std::optional<double> rate_limit_;
   std::mt19937_64 random_;
   std::list<generation> running_;
   /** Event counts of the KV caches that other engines have copied here, by handle. */
--- a/tests/emulator/execution_record.cc
+++ b/tests/emulator/execution_record.cc
@@ -26,6 +26,22 @@
   endpoints.erase(ended);
 }
 
+std::size_t execution_record::MaxArrivals(const std::string& endpoint,
+                                          time_point start,
+                                          duration window) const {
+  const auto found = arrivals_.find(endpoint);
+  if (found == arrivals_.end()) {
+    return 0;
+  }
+  const std::vector<time_point>& times = found->second;
+  std::size_t most = 0;
+  for (auto first = std::ranges::lower_bound(times, start); first != times.end(); ++first) {
+    const auto end = std::lower_bound(first, times.end(), *first + window);
+    most = std::max(most, static_cast<std::size_t>(end - first));
+  }
+  return most;
+}
+
 int execution_record::RunCount(const std::string& request) const {
   const auto found = runs_.find(request);
   return found == runs_.end() ? 0 : found->second;
--- a/tests/emulator/execution_record.h
+++ b/tests/emulator/execution_record.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_TESTS_EMULATOR_EXECUTION_RECORD_H_
 #define TARRAGON_TESTS_EMULATOR_EXECUTION_RECORD_H_
 
+#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
@@ -19,6 +20,12 @@
   void RecordStart(const std::string& request, const std::string& endpoint, bool continued);
   void RecordEnd(const std::string& request, const std::string& endpoint);
 
+  /** Records that an endpoint has got a request, whether it runs it or not. */
+  void RecordArrival(const std::string& endpoint) { arrivals_[endpoint].push_back(time_.Now()); }
+
+  /** @return the most requests that an endpoint has got within `window`, from `start` on. */
+  std::size_t MaxArrivals(const std::string& endpoint, time_point start, duration window) const;
+
   /** @return number of runs that did not continue an earlier one. */
   int RunCount(const std::string& request) const;
 
@@ -31,6 +38,8 @@
 
   const clock& time_;
   std::map<std::string, int> runs_;
+  /** By endpoint, the earliest first. */
+  std::map<std::string, std::vector<time_point>> arrivals_;
   std::map<std::string, std::map<std::string, time_point>> running_;
   std::set<std::string> concurrent_;
 };
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -43,6 +43,7 @@
   std::size_t gateway_count() const { return gateways_.size(); }
   const std::vector<std::shared_ptr<caller>>& callers() const { return callers_; }
   std::mt19937_64& random() { return random_; }
+  endpoint_emulator& plain_endpoint(std::size_t index) { return *plain_.at(index); }
 
   /** Writes a newer version of the configuration to the store. */
   void WriteConfig();
