Keep the requests of all daemons within the limits that endpoints name

What callers and endpoints saw: an endpoint that names the rate of requests which it takes got as many as the others, and up to 2.6 times what the platform allows (92 instead of 35 in four seconds). Cause: the gateway ignored the limit; requests went where few were in flight, and an endpoint in need that answers fast attracted them.

Change: rate_limit keeps what an endpoint has said last and how many requests it has got within four seconds from this daemon and, from their load reports, from the others. The picker leaves out endpoints without room; where only such are left, a request waits if room comes within half of its objective, and is else refused at once. Statements have a revision, so that any daemon's answer begins or ends a limit for all, in any order of messages. Streams that have begun may exceed a limit.

Ruled out: equal shares (a daemon of 195 would have less than one request, and callers spread unevenly); a limit known only from own answers (daemons learnt of it up to 19 s late).

--- a/include/tarragon/gateway/load_relay.h
+++ b/include/tarragon/gateway/load_relay.h
@@ -17,7 +17,7 @@
 namespace tarragon::gateway {
 
 /** @return what this daemon itself knows about an endpoint. */
-routing::endpoint_load_report MakeLoadReport(const routing::endpoint& known);
+routing::endpoint_load_report MakeLoadReport(time_point now, const routing::endpoint& known);
 
 /**
  * Exchanges the loads at the endpoints over the connections of the relay tree, and over connections
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -62,6 +62,14 @@
   void WaitForEndpoint();
   /** Waits for an engine with capacity, or refuses the request. */
   void WaitForCapacity();
+  /** Waits for an endpoint that takes one more request by its limit, or refuses the request. */
+  void WaitForRoom(duration time_to_room);
+  /** @param waits_counter name of the counter of requests that wait. */
+  void Execute(const routing::overload_decision& decision,
+               std::string_view reason,
+               const char* waits_counter);
+  /** @return a uniform value in [0, 1). */
+  double RandomPoint() const;
   void DispatchAfter(std::chrono::milliseconds delay);
   routing::waiting_request DescribeWait() const;
   /** @param copy KV cache copy to resume from, if any. */
@@ -136,7 +144,7 @@
   int sends_without_progress_ = 0;
   /** Failed connects since the last event. */
   int failed_connects_ = 0;
-  /** The request has waited for an engine with capacity. */
+  /** The request has waited for an endpoint with capacity or room. */
   bool waited_ = false;
   int runs_ = 0;
   run_verdict verdict_ = run_verdict::kNotRun;
--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -109,6 +109,8 @@
   std::optional<double> memory_share;
   /** Random bits for the choice among similar endpoints; 0 for none. */
   std::uint64_t entropy = 0;
+  /** The request goes to an endpoint beyond its limit rather than not at all. */
+  bool may_exceed_limit = false;
   /** Ids of endpoints that must not be used, such as those that have failed the request. */
   std::vector<std::string> excluded;
 };
@@ -117,10 +119,17 @@
 struct pick_result {
   /** Null if no endpoint accepts work. */
   endpoint_ptr chosen;
+  /** Whether the endpoint takes one more request now, by its limit. */
+  bool is_within_limit = false;
   /** Whether the endpoint has a free slot and enough memory, by the load of all daemons. */
   bool has_capacity = false;
   /** Predicted time to the answer, penalties included; zero for a copy target with capacity. */
   std::chrono::duration<double, std::milli> expected{0};
+  /**
+   * Shortest time until an endpoint that has no room by its limit takes one more request; empty if
+   * there is no such endpoint.
+   */
+  std::optional<duration> time_to_room;
 };
 
 /** Purpose of a copy of a generation's KV cache. */
@@ -131,7 +140,10 @@
   kStandby,
 };
 
-/** Picks the endpoint with the lowest expected time to the answer, those with capacity first. */
+/**
+ * Picks the endpoint with the lowest expected time to the answer, those with capacity first. An
+ * endpoint that has named a limit gets no more requests than it takes.
+ */
 class endpoint_picker final {
  public:
   explicit endpoint_picker(picker_options options = {}) : options_(options) {}
--- a/include/tarragon/routing/load_exchange.h
+++ b/include/tarragon/routing/load_exchange.h
@@ -8,6 +8,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "tarragon/base/clock.h"
 #include "tarragon/routing/endpoint_registry.h"
 #include "tarragon/routing/peer_loads.h"
 
@@ -46,8 +47,8 @@
   /** @return up to `max_count` loads that the neighbor does not know yet, and marks them known. */
   std::vector<endpoint_load_report> TakeChanges(neighbor_id id, std::size_t max_count);
 
-  /** Sets each endpoint's `peer_load` and the peers' estimates of event interval and slowness. */
-  void Apply(endpoint_registry& registry) const;
+  /** Sets what the other daemons know about each endpoint. */
+  void Apply(time_point now, endpoint_registry& registry) const;
 
   void Validate() const;
 
--- a/include/tarragon/routing/overload_policy.h
+++ b/include/tarragon/routing/overload_policy.h
@@ -8,11 +8,11 @@
 
 namespace tarragon::routing {
 
-/** A generation for which no engine has capacity. */
+/** A request for which no endpoint has capacity or room. */
 struct waiting_request {
   /** Time since the request was received. */
   duration age{0};
-  /** Promised time to the first event. */
+  /** Promised time to the response, or to the first event of a stream. */
   duration latency_objective{0};
   /** Time until the deadline. */
   duration remaining{0};
@@ -40,6 +40,17 @@
  */
 overload_decision DecideWithoutCapacity(const waiting_request& request, double point);
 
+/**
+ * Decides what becomes of a request while all endpoints that are left have got as many requests as
+ * they take by their limits. It waits for room only where that comes soon: the others are refused
+ * at once, since limits last for seconds.
+ * @param time_to_room estimated time until an endpoint takes one more request.
+ * @param point uniform random value in [0, 1), which spreads retries and polls.
+ */
+overload_decision DecideWithoutRoom(const waiting_request& request,
+                                    duration time_to_room,
+                                    double point);
+
 /**
  * @return share of an engine's memory that the request may fill. Short requests may use what is
  * left by long ones, and requests that can still meet their objective go before those that cannot.
--- a/include/tarragon/routing/peer_loads.h
+++ b/include/tarragon/routing/peer_loads.h
@@ -21,13 +21,19 @@
   std::chrono::microseconds event_interval{0};
   /** Lowest slowness that the daemon has seen recently, in percent; zero if none. */
   std::uint16_t min_slowness_percent = 0;
+  /** Requests sent within the window of the endpoint's limit; 0 if it is not limited. */
+  std::uint32_t recent_sends = 0;
+  limit_statement limit{};
 };
 
-/** Adds the load of `report` to `sum`; of the estimates, the lowest known ones are kept. */
+/**
+ * Adds the load and the sends of `report` to `sum`; of the estimates, the lowest known ones are
+ * kept, and of the statements about the limit the latest.
+ */
 void AddReport(endpoint_load_report& sum, const endpoint_load_report& report);
 
 /** Sets what is known about an endpoint from the other daemons. */
-void SetPeerReport(endpoint& known, const endpoint_load_report& sum);
+void SetPeerReport(time_point now, endpoint& known, const endpoint_load_report& sum);
 
 /** An endpoint that is leaving or has been removed. */
 struct endpoint_departure {
@@ -61,8 +67,8 @@
   /** Drops expired reports. */
   void DropExpired(time_point now);
 
-  /** Sets each endpoint's `peer_load` and the peers' estimates of event interval and slowness. */
-  void Apply(endpoint_registry& registry) const;
+  /** Sets what the peers know about each endpoint. */
+  void Apply(time_point now, endpoint_registry& registry) const;
 
   /** @return number of other daemons with a report that has not expired. */
   std::size_t Size() const { return reports_.size(); }
--- a/include/tarragon/routing/rate_limit.h
+++ b/include/tarragon/routing/rate_limit.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_ROUTING_RATE_LIMIT_H_
 #define TARRAGON_ROUTING_RATE_LIMIT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -9,29 +10,82 @@
 
 namespace tarragon::routing {
 
+/** What an endpoint has said last about the rate of requests that it takes from all daemons. */
+struct limit_statement {
+  /**
+   * Increases with each change that any daemon sees in the endpoint's answers, so that the
+   * statements of daemons can be merged in any order. 0 if the endpoint has never been limited.
+   */
+  std::uint32_t revision = 0;
+  /** Requests per second; empty if the endpoint has ceased to name a rate. */
+  std::optional<double> per_second;
+
+  bool operator==(const limit_statement&) const = default;
+};
+
+/** @return the later of two statements about an endpoint; of two at once, the lower limit. */
+limit_statement Latest(const limit_statement& a, const limit_statement& b);
+
 /** How an answer has changed what is known about an endpoint's limit. */
-enum class limit_change : std::uint8_t { kNone, kBegun, kEnded };
+enum class limit_change : std::uint8_t { kNone, kBegun, kChanged, kEnded };
 
-/** The rate at which an endpoint takes requests from all daemons, as it names it in its answers. */
+/**
+ * Keeps the requests that all daemons send to an endpoint within the rate that the endpoint names
+ * in its answers. Each daemon counts its own sends and learns those of the others some
+ * milliseconds later, so that several may send at once when there is room for one; what is
+ * sent in excess counts, and is saved afterwards.
+ */
 class rate_limit final {
  public:
   /** @param per_second requests per second that the answer named; empty if it named none. */
-  limit_change RecordAnswer(time_point now, std::optional<double> per_second);
+  limit_change RecordAnswer(std::optional<double> per_second);
 
   void RecordSend(time_point now);
 
-  /** @return requests per second that the endpoint has named to this daemon; empty if none. */
-  std::optional<double> Named() const { return named_; }
+  /** Sets what the other daemons know, and how much they have sent within the window. */
+  void SetPeers(time_point now, const limit_statement& statement, std::uint32_t sends);
 
-  /** @return requests that this daemon has sent within the window. */
+  /** @return the latest statement that is known to any daemon. */
+  const limit_statement& statement() const { return statement_; }
+  bool is_limited() const { return statement_.per_second.has_value(); }
+
+  /** @return requests that this daemon has sent within the window; 0 while there is no limit. */
   std::uint32_t OwnSends(time_point now) const;
 
+  /** @return whether the endpoint takes one more request now. */
+  bool HasRoom(time_point now) const { return TimeToRoom(now) == duration::zero(); }
+
+  /** @return estimated time until the endpoint takes one more request; zero if it does now. */
+  duration TimeToRoom(time_point now) const;
+
  private:
-  static constexpr duration kWindow = std::chrono::seconds(4);
+  /**
+   * In a shorter window requests arrive more evenly, but sends in excess, which happen once in each
+   * window, add up to more.
+   */
+  static constexpr std::chrono::seconds kMinWindow{4};
+  static constexpr std::chrono::seconds kMaxWindow{10};
+  /** Sent even to an endpoint that takes nothing: only its answers show when it recovers. */
+  static constexpr double kMinPerSecond = 0.1;
+  /** Answers may name a slightly different rate each time; smaller changes are ignored. */
+  static constexpr double kMinRelativeChange = 0.05;
+
+  double Rate() const;
+  /** @return time that is long enough for one request. */
+  duration Window() const;
+  double PeerSends(time_point now) const;
 
-  std::optional<double> named_;
-  /** Times of the sends within the window, the oldest first. */
+  limit_statement statement_;
+  /** Times of the sends within `kMaxWindow`, the oldest first. */
   std::deque<time_point> sends_;
+  /** As reported last. */
+  std::uint32_t peer_sends_ = 0;
+  /**
+   * The highest recent report. It decays as the window passes, so that losing the connection to
+   * the daemons that have sent does not make room at once.
+   */
+  double peak_peer_sends_ = 0;
+  time_point peak_at_;
 };
 
 }  // namespace tarragon::routing
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -275,7 +275,7 @@
       counters.Gauge("tarragon_gateway_quarantined_traits")
           .Set(static_cast<std::int64_t>(shared.quarantine.quarantined_count()));
       const auto limited = [](const routing::endpoint_ptr& known) {
-        return known->limit.Named().has_value();
+        return known->limit.is_limited();
       };
       counters.Gauge("tarragon_gateway_limited_endpoints")
           .Set(std::ranges::count_if(shared.endpoints.all() | std::views::values, limited));
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -34,7 +34,7 @@
 namespace {
 
 /** Checksum seed; must change with the datagram format. */
-constexpr std::uint64_t kFormat = 0x74676c34;
+constexpr std::uint64_t kFormat = 0x74676c35;
 
 }  // namespace
 
@@ -133,7 +133,7 @@
 
 void load_gossip::ApplyLoads() {
   if (carries_loads_) {
-    loads_.Apply(gateway_.endpoints);
+    loads_.Apply(gateway_.time.Now(), gateway_.endpoints);
   }
 }
 
@@ -165,13 +165,14 @@
   }
   // Endpoints with load come first. Measurements of idle endpoints fill the rest of the datagram,
   // round robin if they do not all fit.
+  const time_point now = gateway_.time.Now();
   const auto is_loaded = [](const routing::endpoint& known) {
-    return known.own_load != routing::endpoint_load{};
+    return known.own_load != routing::endpoint_load{} || known.limit.statement().revision > 0;
   };
   const auto& all = gateway_.endpoints.all();
   for (const routing::endpoint_ptr& known : all | std::views::values) {
     if (is_loaded(*known) && report.endpoints.size() < kMaxEndpoints) {
-      report.endpoints.push_back(MakeLoadReport(*known));
+      report.endpoints.push_back(MakeLoadReport(now, *known));
     }
   }
   loaded_endpoint_count_ = report.endpoints.size();
@@ -180,7 +181,7 @@
     next = next == all.end() ? all.begin() : next;
     const routing::endpoint& known = *next->second;
     if (!is_loaded(known) && (known.slowness.OwnMinimum() || known.event_interval.OwnEstimate())) {
-      report.endpoints.push_back(MakeLoadReport(known));
+      report.endpoints.push_back(MakeLoadReport(now, known));
       last_idle_endpoint_ = next->first;
     }
     ++next;
@@ -210,7 +211,8 @@
   const time_point now = gateway_.time.Now();
   const auto loaded = std::span(report.endpoints).first(loaded_endpoint_count_);
   const bool changed = !std::ranges::equal(loaded, last_sent_, [](const auto& a, const auto& b) {
-    return a.endpoint_hash == b.endpoint_hash && a.load == b.load;
+    return a.endpoint_hash == b.endpoint_hash && a.load == b.load &&
+           a.recent_sends == b.recent_sends && a.limit == b.limit;
   });
   if (!changed && now < last_sent_at_ + kRepeatInterval) {
     return;
--- a/src/gateway/load_relay.cc
+++ b/src/gateway/load_relay.cc
@@ -10,14 +10,17 @@
 
 namespace tarragon::gateway {
 
-routing::endpoint_load_report MakeLoadReport(const routing::endpoint& known) {
+routing::endpoint_load_report MakeLoadReport(time_point now, const routing::endpoint& known) {
   constexpr double kPercent = 100;
   constexpr double kMaxPercent = 60'000;
   const duration event_interval = known.event_interval.OwnEstimate().value_or(duration(0));
   const double least = std::min(kMaxPercent, kPercent * known.slowness.OwnMinimum().value_or(0));
-  return {Hash64(known.entry.id), known.own_load,
+  return {Hash64(known.entry.id),
+          known.own_load,
           std::chrono::duration_cast<std::chrono::microseconds>(event_interval),
-          static_cast<std::uint16_t>(std::lround(least))};
+          static_cast<std::uint16_t>(std::lround(least)),
+          known.limit.OwnSends(now),
+          known.limit.statement()};
 }
 
 load_relay::load_relay(gateway_state& gateway)
@@ -63,7 +66,7 @@
   }
   exchange_.RemoveNeighbor(found->second.id);
   links_.erase(found);
-  exchange_.Apply(gateway_.endpoints);
+  exchange_.Apply(gateway_.time.Now(), gateway_.endpoints);
   ScheduleExchange();
 }
 
@@ -73,7 +76,7 @@
     return;
   }
   exchange_.Receive(found->second.id, message.changes);
-  exchange_.Apply(gateway_.endpoints);
+  exchange_.Apply(gateway_.time.Now(), gateway_.endpoints);
   gateway_.counters.Counter("tarragon_gateway_load_messages_total").Add();
   ScheduleExchange();
 }
@@ -153,9 +156,10 @@
 }
 
 void load_relay::UpdateOwnLoads() {
+  const time_point now = gateway_.time.Now();
   std::vector<routing::endpoint_load_report> reports;
   for (const routing::endpoint_ptr& known : gateway_.endpoints.all() | std::views::values) {
-    routing::endpoint_load_report report = MakeLoadReport(*known);
+    routing::endpoint_load_report report = MakeLoadReport(now, *known);
     // Each event changes the estimate a little; whole milliseconds are precise enough.
     report.event_interval = std::chrono::ceil<std::chrono::milliseconds>(report.event_interval);
     reports.push_back(report);
--- a/src/gateway/load_serialization.h
+++ b/src/gateway/load_serialization.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "tarragon/routing/peer_loads.h"
 
@@ -13,11 +14,26 @@
   archive(load.requests, load.tokens, load.unread_tokens, load.long_streams);
 }
 
+/** Few endpoints have ever been limited, so that the others take a single byte. */
+template <class Archive>
+void SerializeLimit(Archive& archive, endpoint_load_report& report) {
+  constexpr double kNoLimit = -1;
+  bool has_statement = report.limit.revision > 0;
+  archive(has_statement);
+  if (!has_statement) {
+    return;
+  }
+  double per_second = report.limit.per_second.value_or(kNoLimit);
+  archive(report.limit.revision, per_second, report.recent_sends);
+  report.limit.per_second = per_second < 0 ? std::nullopt : std::optional(per_second);
+}
+
 template <class Archive>
 void serialize(Archive& archive, endpoint_load_report& report) {
   auto event_interval = static_cast<std::uint32_t>(report.event_interval.count());
   archive(report.endpoint_hash, report.load, event_interval, report.min_slowness_percent);
   report.event_interval = std::chrono::microseconds(event_interval);
+  SerializeLimit(archive, report);
 }
 
 }  // namespace tarragon::routing
--- a/src/gateway/relay_message.cc
+++ b/src/gateway/relay_message.cc
@@ -44,7 +44,7 @@
 namespace {
 
 /** Checksum seed; must change with the message format. */
-constexpr std::uint64_t kFormat = 0x74676c72;
+constexpr std::uint64_t kFormat = 0x74676c73;
 constexpr std::size_t kLengthBytes = 4;
 
 std::size_t ReadLength(std::string_view bytes) {
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -123,6 +123,8 @@
   requirements.pause_objective = admitted_.route->pause_objective;
   requirements.entropy = gateway_.random();
   requirements.memory_share = AllowedMemoryShare(DescribeWait());
+  // A stream that has begun would be lost.
+  requirements.may_exceed_limit = response_started_;
   requirements.excluded = excluded_endpoints_;
   return requirements;
 }
@@ -143,7 +145,11 @@
   const routing::pick_result pick =
       gateway_.picker.Pick(gateway_.time.Now(), gateway_.endpoints, wanted);
   if (!pick.chosen) {
-    WaitForEndpoint();
+    if (pick.time_to_room) {
+      WaitForRoom(*pick.time_to_room);
+    } else {
+      WaitForEndpoint();
+    }
     return;
   }
   // A stream that has begun goes on at once, as its caller waits for the next event.
@@ -232,20 +238,38 @@
 }
 
 void request_handler::WaitForCapacity() {
+  Execute(DecideWithoutCapacity(DescribeWait(), RandomPoint()), "overload",
+          "tarragon_gateway_capacity_waits_total");
+}
+
+void request_handler::WaitForRoom(duration time_to_room) {
+  Execute(DecideWithoutRoom(DescribeWait(), time_to_room, RandomPoint()), "endpoint_limit",
+          "tarragon_gateway_limit_waits_total");
+}
+
+void request_handler::Execute(const routing::overload_decision& decision,
+                              std::string_view reason,
+                              const char* waits_counter) {
   struct visitor {
     request_handler& handler;
+    std::string_view reason;
+    const char* waits_counter;
+
     void operator()(routing::wait_for_capacity wait) const {
       if (!std::exchange(handler.waited_, true)) {
-        handler.gateway_.counters.Counter("tarragon_gateway_capacity_waits_total").Add();
+        handler.gateway_.counters.Counter(waits_counter).Add();
       }
       handler.DispatchAfter(wait.delay);
     }
     void operator()(routing::refuse_for_overload refusal) const {
-      handler.FailRequest("overload", kBadGateway, refusal.retry_after);
+      handler.FailRequest(reason, kBadGateway, refusal.retry_after);
     }
   };
-  const double point = std::uniform_real_distribution<>(0, 1)(gateway_.random);
-  std::visit(visitor{*this}, DecideWithoutCapacity(DescribeWait(), point));
+  std::visit(visitor{*this, reason, waits_counter}, decision);
+}
+
+double request_handler::RandomPoint() const {
+  return std::uniform_real_distribution<>(0, 1)(gateway_.random);
 }
 
 bool request_handler::IsResponseToThisRequest(const http::message_head& head) const {
@@ -285,12 +309,11 @@
   if (!per_second && head.headers.Find(gateway_.adapter.names().signature) == nullptr) {
     return;
   }
-  const time_point now = gateway_.time.Now();
-  if (target_->limit.RecordAnswer(now, per_second) != routing::limit_change::kNone) {
+  if (target_->limit.RecordAnswer(per_second) != routing::limit_change::kNone) {
     gateway_.log.LogRequest(
         "endpoint_limit", {{"endpoint", target_->entry.id},
                            {"per_second", per_second ? fmt::format("{:.3f}", *per_second) : "none"},
-                           {"own_sends", target_->limit.OwnSends(now)},
+                           {"own_sends", target_->limit.OwnSends(gateway_.time.Now())},
                            {"request", id_}});
   }
 }
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <tuple>
 
 #include "tarragon/base/hash.h"
 #include "tarragon/routing/pause_predictor.h"
@@ -106,6 +107,10 @@
     expected += options_.cross_domain_penalty_ms;
   }
   expected += options_.spread_ms * SpreadPoint(candidate, request.entropy);
+  if (candidate.limit.is_limited()) {
+    // Room for a few requests attracts all daemons at once.
+    expected += expected * SpreadPoint(candidate, request.entropy);
+  }
   if (now < candidate.listed_at + candidate.entry.warm_up) {
     expected += options_.warm_up_penalty_ms;
   }
@@ -117,21 +122,34 @@
                                   const pick_request& request) const {
   const std::vector<endpoint_ptr>& candidates = registry.FindByService(request.service);
   const pause_predictor predictor(candidates);
+  // Endpoints within their limits go first, then those with capacity, then the fastest one.
+  const auto precedes = [](const pick_result& a, const pick_result& b) {
+    return std::tuple(!a.is_within_limit, !a.has_capacity, a.expected) <
+           std::tuple(!b.is_within_limit, !b.has_capacity, b.expected);
+  };
   pick_result best;
+  std::optional<duration> time_to_room;
   for (const endpoint_ptr& candidate : candidates) {
     if (!IsUsable(now, *candidate, request)) {
       continue;
     }
+    const duration wait = candidate->limit.TimeToRoom(now);
+    if (wait > duration::zero()) {
+      time_to_room = std::min(wait, time_to_room.value_or(wait));
+      if (!request.may_exceed_limit) {
+        continue;
+      }
+    }
     const bool has_capacity =
         HasCapacity(*candidate, request, request.memory_share.value_or(options_.max_memory_share));
     const std::chrono::duration<double, std::milli> expected{
         ScoreMs(now, *candidate, request, PredictPauseMiss(predictor, *candidate, request))};
-    const bool better = !best.chosen || (has_capacity && !best.has_capacity) ||
-                        (has_capacity == best.has_capacity && expected < best.expected);
-    if (better) {
-      best = {candidate, has_capacity, expected};
+    const pick_result next{candidate, wait == duration::zero(), has_capacity, expected, {}};
+    if (!best.chosen || precedes(next, best)) {
+      best = next;
     }
   }
+  best.time_to_room = time_to_room;
   return best;
 }
 
@@ -142,7 +160,10 @@
   const std::uint64_t used = TotalLoad(candidate).tokens;
   const std::uint64_t memory = request.engine->memory_tokens;
   std::uint64_t weight = memory > used ? memory - used : 1;
-  if (purpose == copy_purpose::kBackup) {
+  if (candidate.limit.is_limited()) {
+    // Streams that move there at once would exceed the limit, so this engine is a last resort.
+    weight = 1;
+  } else if (purpose == copy_purpose::kBackup) {
     weight *= misses_pause_objective.value_or(true) ? options_.backup_target_factor : 1;
   } else if (!misses_pause_objective) {
     weight = std::max<std::uint64_t>(1, weight / options_.unknown_pause_divisor);
@@ -191,7 +212,7 @@
     point -= candidate.weight;
     return false;
   });
-  return {chosen->engine, true, {}};
+  return {chosen->engine, true, true, {}, {}};
 }
 
 }  // namespace tarragon::routing
--- a/src/routing/load_exchange.cc
+++ b/src/routing/load_exchange.cc
@@ -14,12 +14,13 @@
 
 bool IsEmpty(const endpoint_load_report& report) {
   return report.load == endpoint_load{} && report.event_interval.count() == 0 &&
-         report.min_slowness_percent == 0;
+         report.min_slowness_percent == 0 && report.recent_sends == 0 && report.limit.revision == 0;
 }
 
 bool SaysTheSame(const endpoint_load_report& a, const endpoint_load_report& b) {
   return a.load == b.load && a.event_interval == b.event_interval &&
-         a.min_slowness_percent == b.min_slowness_percent;
+         a.min_slowness_percent == b.min_slowness_percent && a.recent_sends == b.recent_sends &&
+         a.limit == b.limit;
 }
 
 }  // namespace
@@ -101,10 +102,8 @@
 
 endpoint_load_report load_exchange::Sum(std::uint64_t endpoint_hash,
                                         const neighbor* receiver) const {
-  endpoint_load_report sum{.endpoint_hash = endpoint_hash,
-                           .load = {},
-                           .event_interval = std::chrono::microseconds(0),
-                           .min_slowness_percent = 0};
+  endpoint_load_report sum;
+  sum.endpoint_hash = endpoint_hash;
   const auto add = [&](const report_map& reports) {
     if (const auto found = reports.find(endpoint_hash); found != reports.end()) {
       AddReport(sum, found->second);
@@ -153,9 +152,9 @@
   return changes;
 }
 
-void load_exchange::Apply(endpoint_registry& registry) const {
+void load_exchange::Apply(time_point now, endpoint_registry& registry) const {
   for (const auto& [id, known] : registry.all()) {
-    SetPeerReport(*known, Sum(Hash64(id), nullptr));
+    SetPeerReport(now, *known, Sum(Hash64(id), nullptr));
   }
 }
 
--- a/src/routing/overload_policy.cc
+++ b/src/routing/overload_policy.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
 /** Time between two looks at the loads; generations end every 20 to 50 ms in a busy fleet. */
 constexpr std::chrono::milliseconds kMinPollDelay{25};
 constexpr std::chrono::milliseconds kMaxPollDelay{75};
@@ -18,26 +21,46 @@
 /** Callers wait at most a third of the time that they have left. */
 constexpr int kRemainingPerRetry = 3;
 
+/** A request that waits longer for room would miss its objective in the end. */
+constexpr double kMaxRoomWaitInObjectives = 0.5;
+constexpr std::chrono::milliseconds kMinRoomPollDelay{10};
+
 constexpr double kShortShare = 0.95;
 constexpr double kLongShare = 0.85;
 constexpr double kLateShare = 0.75;
 
+/** @param min_retry_after time before which another try would be refused too. */
+refuse_for_overload Refuse(const waiting_request& request, duration min_retry_after, double point) {
+  const double objectives =
+      kMinRetryInObjectives + (kMaxRetryInObjectives - kMinRetryInObjectives) * point;
+  const auto wanted =
+      min_retry_after + duration_cast<duration>(objectives * request.latency_objective);
+  return {duration_cast<milliseconds>(
+      std::min<duration>(wanted, request.remaining / kRemainingPerRetry))};
+}
+
 }  // namespace
 
 overload_decision DecideWithoutCapacity(const waiting_request& request, double point) {
-  using std::chrono::duration_cast;
-  using std::chrono::milliseconds;
   if (request.age >= kMaxWaitInObjectives * request.latency_objective) {
-    const double objectives =
-        kMinRetryInObjectives + (kMaxRetryInObjectives - kMinRetryInObjectives) * point;
-    const auto wanted = duration_cast<duration>(objectives * request.latency_objective);
-    return refuse_for_overload{duration_cast<milliseconds>(
-        std::min<duration>(wanted, request.remaining / kRemainingPerRetry))};
+    return Refuse(request, duration::zero(), point);
   }
   return wait_for_capacity{
       duration_cast<milliseconds>(kMinPollDelay + (kMaxPollDelay - kMinPollDelay) * point)};
 }
 
+overload_decision DecideWithoutRoom(const waiting_request& request,
+                                    duration time_to_room,
+                                    double point) {
+  if (request.age + time_to_room > kMaxRoomWaitInObjectives * request.latency_objective) {
+    return Refuse(request, time_to_room, point);
+  }
+  const auto poll_delay =
+      duration_cast<duration>(kMinPollDelay + (kMaxPollDelay - kMinPollDelay) * point);
+  return wait_for_capacity{duration_cast<milliseconds>(
+      std::max<duration>(kMinRoomPollDelay, std::min(poll_delay, time_to_room)))};
+}
+
 double AllowedMemoryShare(const waiting_request& request) {
   const double share = request.is_long ? kLongShare : kShortShare;
   return request.age > request.latency_objective ? std::min(share, kLateShare) : share;
--- a/src/routing/peer_loads.cc
+++ b/src/routing/peer_loads.cc
@@ -25,15 +25,18 @@
   sum.load += report.load;
   sum.event_interval = MinKnown(sum.event_interval, report.event_interval);
   sum.min_slowness_percent = MinKnown(sum.min_slowness_percent, report.min_slowness_percent);
+  sum.recent_sends += report.recent_sends;
+  sum.limit = Latest(sum.limit, report.limit);
 }
 
-void SetPeerReport(endpoint& known, const endpoint_load_report& sum) {
+void SetPeerReport(time_point now, endpoint& known, const endpoint_load_report& sum) {
   known.peer_load = sum.load;
   known.event_interval.SetPeerEstimate(
       sum.event_interval.count() > 0 ? std::optional<duration>(sum.event_interval) : std::nullopt);
   known.slowness.SetPeerMinimum(sum.min_slowness_percent > 0
                                     ? std::optional(sum.min_slowness_percent / kPercent)
                                     : std::nullopt);
+  known.limit.SetPeers(now, sum.limit, sum.recent_sends);
 }
 
 bool peer_loads::RecordReport(time_point now, const peer_report& report) {
@@ -52,7 +55,7 @@
   });
 }
 
-void peer_loads::Apply(endpoint_registry& registry) const {
+void peer_loads::Apply(time_point now, endpoint_registry& registry) const {
   std::unordered_map<std::uint64_t, endpoint_load_report> sums;
   for (const received_report& known : reports_ | std::views::values) {
     for (const endpoint_load_report& reported : known.report.endpoints) {
@@ -63,7 +66,7 @@
   for (const auto& [id, known] : registry.all()) {
     const auto found = sums.find(Hash64(id));
     const endpoint_load_report sum = found == sums.end() ? endpoint_load_report{} : found->second;
-    SetPeerReport(*known, sum);
+    SetPeerReport(now, *known, sum);
   }
 }
 
--- a/tests/gateway/load_gossip_test.cc
+++ b/tests/gateway/load_gossip_test.cc
@@ -15,7 +15,9 @@
   report.daemon = "vm-1";
   report.started_unix_ms = 123;
   report.sequence = 9;
-  report.endpoints = {{77, {1, 4000, 3000, 1}, std::chrono::microseconds(28500), 130}};
+  report.endpoints = {{77, {1, 4000, 3000, 1}, std::chrono::microseconds(28500), 130},
+                      {78, {}, {}, 0, 12, {3, 6.25}},
+                      {79, {}, {}, 0, 0, {4, std::nullopt}}};
   report.departures = {{88, 7}};
   const auto decoded = DecodeReport(EncodeReport(report));
   ASSERT_TRUE(decoded);
@@ -23,6 +25,9 @@
   EXPECT_EQ(decoded->endpoints.at(0).load, report.endpoints[0].load);
   EXPECT_EQ(decoded->endpoints.at(0).event_interval, std::chrono::microseconds(28500));
   EXPECT_EQ(decoded->endpoints.at(0).min_slowness_percent, 130);
+  EXPECT_EQ(decoded->endpoints.at(1).recent_sends, 12U);
+  EXPECT_EQ(decoded->endpoints.at(1).limit, report.endpoints[1].limit);
+  EXPECT_EQ(decoded->endpoints.at(2).limit, report.endpoints[2].limit);
   EXPECT_EQ(decoded->departures.at(0).row_version, 7U);
 }
 
--- a/tests/routing/load_exchange_test.cc
+++ b/tests/routing/load_exchange_test.cc
@@ -127,7 +127,7 @@
   fleet.Settle();
   for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
     fleet.daemons[daemon].Validate();
-    fleet.daemons[daemon].Apply(registry);
+    fleet.daemons[daemon].Apply(time_point{}, registry);
     for (std::size_t engine = 0; engine < 3; ++engine) {
       std::uint32_t others = 0;
       for (std::size_t other = 0; other < kDaemons; ++other) {
@@ -138,6 +138,31 @@
   }
 }
 
+// Guards against an endpoint's limit, or sends to it, that a part of a large fleet does not know
+// of.
+TEST(LoadExchangeTest, TellsLimitsAndSends) {
+  constexpr std::size_t kDaemons = 195;
+  exchanging_fleet fleet(kDaemons, 5);
+  endpoint_registry registry = MakeRegistry(1);
+  const std::uint64_t hash = Hash64("engine-00");
+  for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+    endpoint_load_report own = Report(hash, 0);
+    own.recent_sends = daemon % 2;
+    own.limit = {daemon == 7 ? 2U : 0U, 40.0};
+    fleet.daemons[daemon].SetOwnLoads({own});
+  }
+  fleet.Settle();
+  fleet.daemons[100].Apply(time_point{}, registry);
+  rate_limit& limit = registry.Find("engine-00")->limit;
+  EXPECT_EQ(limit.statement(), (limit_statement{2, 40.0}));
+  EXPECT_TRUE(limit.HasRoom(time_point{}));
+  constexpr int kRoom = 40 * 4 - kDaemons / 2;
+  for (int i = 0; i < kRoom; ++i) {
+    limit.RecordSend(time_point{});
+  }
+  EXPECT_FALSE(limit.HasRoom(time_point{}));
+}
+
 // Guards against a load that costs a daemon more messages in a larger fleet.
 TEST(LoadExchangeTest, AChangeIsToldOnceOnEachLink) {
   for (const std::size_t size : {64, 195}) {
@@ -169,7 +194,7 @@
   for (std::size_t request = 0; request < kRequests; ++request) {
     const std::size_t daemon = random() % fleet.daemons.size();
     endpoint_registry& registry = registries[daemon];
-    fleet.daemons[daemon].Apply(registry);
+    fleet.daemons[daemon].Apply(time_point{}, registry);
     pick_request wanted;
     wanted.service = "engines";
     wanted.size = {2200, 16, 16};
--- a/tests/routing/overload_policy_test.cc
+++ b/tests/routing/overload_policy_test.cc
@@ -33,6 +33,21 @@
   }
 }
 
+// Guards against callers that wait for room which comes too late, and against a time to come back
+// at which there is no room yet.
+TEST(OverloadPolicyTest, RefusesAtOnceWhatWouldWaitTooLongForRoom) {
+  const waiting_request request{.latency_objective = kObjective, .remaining = kDeadline};
+  const auto wait =
+      std::get<wait_for_capacity>(DecideWithoutRoom(request, milliseconds(30), 0.999));
+  EXPECT_LE(wait.delay, milliseconds(30));
+  const auto refusal = std::get<refuse_for_overload>(DecideWithoutRoom(request, seconds(2), 0));
+  EXPECT_GE(refusal.retry_after, seconds(2));
+  waiting_request late = request;
+  late.remaining = seconds(3);
+  EXPECT_LE(std::get<refuse_for_overload>(DecideWithoutRoom(late, seconds(2), 0)).retry_after,
+            seconds(1));
+}
+
 // Guards against returning callers who all come back at the same moment.
 TEST(OverloadPolicyTest, SpreadsRetries) {
   const waiting_request request{
--- a/tests/routing/peer_loads_test.cc
+++ b/tests/routing/peer_loads_test.cc
@@ -19,7 +19,7 @@
     registry.Put(now, 1, entry);
   }
   std::uint32_t PeerRequests() {
-    loads.Apply(registry);
+    loads.Apply(now, registry);
     return registry.Find("a")->peer_load.requests;
   }
   time_point now{};
@@ -57,7 +57,7 @@
   for (const peer_report& report : {one, other, third}) {
     loads.RecordReport(now, report);
   }
-  loads.Apply(registry);
+  loads.Apply(now, registry);
   EXPECT_EQ(registry.Find("a")->event_interval.Estimate(), std::chrono::milliseconds(28));
   EXPECT_EQ(registry.Find("a")->slowness.Minimum(), 1.0);
 }
