Let waiting requests contend for the room at limited endpoints

Cause, from the logs: requests that wait at all daemons look for room every 25 to 75 ms; when one place gets free, 19 of them take it within 60 ms, before the daemons have heard of the first.

Change: a request that has waited or been sent before uses room only with a chance of room to contenders, which doubles with each 100 ms in which nobody has used it.

Ruled out: telling the number of waiting requests over the load exchange (a row per limited endpoint for each change).

--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -68,6 +68,8 @@
   std::mt19937_64 random;
   /** Bytes of responses that are being received and are not relayed yet. */
   std::size_t buffered_response_bytes = 0;
+  /** Requests that wait for an endpoint with capacity or room, by service. */
+  std::unordered_map<std::string, std::size_t> waiting_requests;
   bool draining = false;
   /** The process writes its last responses and rejects new requests. */
   bool closing = false;
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -68,6 +68,9 @@
   void Execute(const routing::overload_decision& decision,
                std::string_view reason,
                const char* waits_counter);
+  void SetWaiting(bool is_waiting);
+  /** @return estimated number of requests of all daemons that want the same room as this one. */
+  std::size_t CountContenders() const;
   /** @return a uniform value in [0, 1). */
   double RandomPoint() const;
   void DispatchAfter(std::chrono::milliseconds delay);
@@ -146,6 +149,8 @@
   int failed_connects_ = 0;
   /** The request has waited for an endpoint with capacity or room. */
   bool waited_ = false;
+  bool is_waiting_ = false;
+  time_point waiting_since_;
   int runs_ = 0;
   run_verdict verdict_ = run_verdict::kNotRun;
   std::vector<std::string> excluded_endpoints_;
--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -2,6 +2,7 @@
 #define TARRAGON_ROUTING_ENDPOINT_PICKER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -109,6 +110,13 @@
   std::optional<double> memory_share;
   /** Random bits for the choice among similar endpoints; 0 for none. */
   std::uint64_t entropy = 0;
+  /**
+   * Estimated number of requests of all daemons that wait for the same room at limited endpoints; 1
+   * for a request that has just arrived.
+   */
+  std::size_t contenders = 1;
+  /** Time for which the request has waited for room. */
+  duration waited{0};
   /** The request goes to an endpoint beyond its limit rather than not at all. */
   bool may_exceed_limit = false;
   /** Ids of endpoints that must not be used, such as those that have failed the request. */
@@ -126,8 +134,8 @@
   /** Predicted time to the answer, penalties included; zero for a copy target with capacity. */
   std::chrono::duration<double, std::milli> expected{0};
   /**
-   * Shortest time until an endpoint that has no room by its limit takes one more request; empty if
-   * there is no such endpoint.
+   * Shortest time until an endpoint that was left out because of its limit takes one more request;
+   * zero if it has room, but for other requests. Empty if there is no such endpoint.
    */
   std::optional<duration> time_to_room;
 };
--- a/include/tarragon/routing/rate_limit.h
+++ b/include/tarragon/routing/rate_limit.h
@@ -2,6 +2,7 @@
 #define TARRAGON_ROUTING_RATE_LIMIT_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -52,8 +53,14 @@
   /** @return requests that this daemon has sent within the window; 0 while there is no limit. */
   std::uint32_t OwnSends(time_point now) const;
 
+  /** @return requests that the endpoint takes now; infinite if there is no limit. */
+  double Room(time_point now) const;
+
   /** @return whether the endpoint takes one more request now. */
-  bool HasRoom(time_point now) const { return TimeToRoom(now) == duration::zero(); }
+  bool HasRoom(time_point now) const { return Room(now) >= 1; }
+
+  /** @return time for which there has been room and nothing was sent; zero without room. */
+  duration UnusedRoomAge(time_point now) const;
 
   /** @return estimated time until the endpoint takes one more request; zero if it does now. */
   duration TimeToRoom(time_point now) const;
@@ -70,22 +77,24 @@
   /** Answers may name a slightly different rate each time; smaller changes are ignored. */
   static constexpr double kMinRelativeChange = 0.05;
 
+  /** Drops the times before the longest window. */
+  static void DropOld(time_point now, std::deque<time_point>& sends);
   double Rate() const;
   /** @return time that is long enough for one request. */
   duration Window() const;
-  double PeerSends(time_point now) const;
+  /** @return requests that the endpoint may get within the window. */
+  double Allowed() const;
+  std::size_t PeerSends(time_point now) const;
 
   limit_statement statement_;
   /** Times of the sends within `kMaxWindow`, the oldest first. */
   std::deque<time_point> sends_;
-  /** As reported last. */
-  std::uint32_t peer_sends_ = 0;
   /**
-   * The highest recent report. It decays as the window passes, so that losing the connection to
-   * the daemons that have sent does not make room at once.
+   * Times at which sends of the other daemons were first reported, the oldest first. They are kept
+   * for the whole window, so that losing the connection to the daemons that have sent makes no
+   * room.
    */
-  double peak_peer_sends_ = 0;
-  time_point peak_at_;
+  std::deque<time_point> peer_sends_;
 };
 
 }  // namespace tarragon::routing
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -123,6 +123,8 @@
   requirements.pause_objective = admitted_.route->pause_objective;
   requirements.entropy = gateway_.random();
   requirements.memory_share = AllowedMemoryShare(DescribeWait());
+  requirements.contenders = CountContenders();
+  requirements.waited = is_waiting_ ? gateway_.time.Now() - waiting_since_ : duration::zero();
   // A stream that has begun would be lost.
   requirements.may_exceed_limit = response_started_;
   requirements.excluded = excluded_endpoints_;
@@ -179,6 +181,7 @@
   TARRAGON_INVARIANT(!exchange_, "a send was started while another was in flight");
   TARRAGON_INVARIANT(copy || !response_started_ || admitted_.route->resumable,
                      "a started stream that is not resumable may only be resumed from a copy");
+  SetWaiting(false);
   target_ = target;
   const bool is_long = gateway_.picker.IsLongStream(MakePickRequest());
   reservation_ = {target_,
@@ -259,6 +262,7 @@
       if (!std::exchange(handler.waited_, true)) {
         handler.gateway_.counters.Counter(waits_counter).Add();
       }
+      handler.SetWaiting(true);
       handler.DispatchAfter(wait.delay);
     }
     void operator()(routing::refuse_for_overload refusal) const {
@@ -268,6 +272,24 @@
   std::visit(visitor{*this, reason, waits_counter}, decision);
 }
 
+void request_handler::SetWaiting(bool is_waiting) {
+  if (std::exchange(is_waiting_, is_waiting) != is_waiting) {
+    waiting_since_ = gateway_.time.Now();
+    std::size_t& count = gateway_.waiting_requests[admitted_.service_name];
+    count = is_waiting ? count + 1 : count - 1;
+  }
+}
+
+std::size_t request_handler::CountContenders() const {
+  if (!waited_ && sends_ == 0) {
+    return 1;
+  }
+  // Callers are spread over the daemons, so that about as many wait at each of the others.
+  const auto waiting = gateway_.waiting_requests.find(admitted_.service_name);
+  const std::size_t own = waiting == gateway_.waiting_requests.end() ? 0 : waiting->second;
+  return gateway_.daemons * std::max<std::size_t>(1, own);
+}
+
 double request_handler::RandomPoint() const {
   return std::uniform_real_distribution<>(0, 1)(gateway_.random);
 }
@@ -638,6 +660,7 @@
 void request_handler::Finish(std::string_view outcome) {
   TARRAGON_INVARIANT(!finished_, "the request has already been finished");
   finished_ = true;
+  SetWaiting(false);
   if (copies_) {
     copies_->Release();
   }
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -1,6 +1,7 @@
 #include "tarragon/routing/endpoint_picker.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <tuple>
 
@@ -28,6 +29,26 @@
   return entropy == 0 ? 0 : static_cast<double>(Hash64(candidate.entry.id, entropy)) / kHashRange;
 }
 
+/**
+ * @return whether the request may use the candidate's room. Of the requests that wait for it at all
+ * daemons, about as many win as there is room for, since the daemons do not know of each other's
+ * sends in time. The chance grows while room is not used, as fewer requests may be waiting.
+ */
+bool WinsRoom(time_point now, const endpoint& candidate, const pick_request& request) {
+  // Each request tries about twice before the daemons know of the first sends.
+  constexpr double kInitialShare = 0.5;
+  constexpr duration kDoublingTime = std::chrono::milliseconds(100);
+  const double room = candidate.limit.Room(now);
+  if (room < 1 || request.contenders <= 1) {
+    return room >= 1;
+  }
+  const duration unused = std::min(candidate.limit.UnusedRoomAge(now), request.waited);
+  const double doublings = std::chrono::duration<double>(unused) / kDoublingTime;
+  const double chance =
+      kInitialShare * room / static_cast<double>(request.contenders) * std::exp2(doublings);
+  return SpreadPoint(candidate, request.entropy) <= chance;
+}
+
 std::optional<bool> PredictPauseMiss(const pause_predictor& predictor,
                                      const endpoint& candidate,
                                      const pick_request& request) {
@@ -133,8 +154,9 @@
     if (!IsUsable(now, *candidate, request)) {
       continue;
     }
-    const duration wait = candidate->limit.TimeToRoom(now);
-    if (wait > duration::zero()) {
+    const bool is_within_limit = WinsRoom(now, *candidate, request);
+    if (!is_within_limit) {
+      const duration wait = candidate->limit.TimeToRoom(now);
       time_to_room = std::min(wait, time_to_room.value_or(wait));
       if (!request.may_exceed_limit) {
         continue;
@@ -144,7 +166,7 @@
         HasCapacity(*candidate, request, request.memory_share.value_or(options_.max_memory_share));
     const std::chrono::duration<double, std::milli> expected{
         ScoreMs(now, *candidate, request, PredictPauseMiss(predictor, *candidate, request))};
-    const pick_result next{candidate, wait == duration::zero(), has_capacity, expected, {}};
+    const pick_result next{candidate, is_within_limit, has_capacity, expected, {}};
     if (!best.chosen || precedes(next, best)) {
       best = next;
     }
@@ -160,16 +182,15 @@
   const std::uint64_t used = TotalLoad(candidate).tokens;
   const std::uint64_t memory = request.engine->memory_tokens;
   std::uint64_t weight = memory > used ? memory - used : 1;
-  if (candidate.limit.is_limited()) {
-    // Streams that move there at once would exceed the limit, so this engine is a last resort.
+  const bool is_standby = purpose == copy_purpose::kStandby;
+  if (candidate.limit.is_limited() || (is_standby && misses_pause_objective.value_or(false))) {
+    // The streams would exceed the limit or miss their pause objective there, so this engine is a
+    // last resort.
     weight = 1;
-  } else if (purpose == copy_purpose::kBackup) {
+  } else if (!is_standby) {
     weight *= misses_pause_objective.value_or(true) ? options_.backup_target_factor : 1;
   } else if (!misses_pause_objective) {
     weight = std::max<std::uint64_t>(1, weight / options_.unknown_pause_divisor);
-  } else if (*misses_pause_objective) {
-    // The stream would miss its pause objective there, so this engine is a last resort.
-    weight = 1;
   }
   const bool preferred = candidate.entry.failure_domain == request.preferred_failure_domain;
   return preferred ? weight * options_.preferred_domain_factor : weight;
--- a/src/routing/rate_limit.cc
+++ b/src/routing/rate_limit.cc
@@ -2,10 +2,21 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <limits>
 #include <utility>
+#include <vector>
 
 namespace tarragon::routing {
 
+namespace {
+
+std::size_t CountSince(time_point start, const std::deque<time_point>& sends) {
+  return static_cast<std::size_t>(sends.end() - std::ranges::upper_bound(sends, start));
+}
+
+}  // namespace
+
 limit_statement Latest(const limit_statement& a, const limit_statement& b) {
   if (a.revision != b.revision) {
     return a.revision > b.revision ? a : b;
@@ -28,19 +39,23 @@
   return before ? limit_change::kChanged : limit_change::kBegun;
 }
 
-void rate_limit::RecordSend(time_point now) {
-  while (!sends_.empty() && sends_.front() + kMaxWindow <= now) {
-    sends_.pop_front();
+void rate_limit::DropOld(time_point now, std::deque<time_point>& sends) {
+  while (!sends.empty() && sends.front() + kMaxWindow <= now) {
+    sends.pop_front();
   }
+}
+
+void rate_limit::RecordSend(time_point now) {
+  DropOld(now, sends_);
   sends_.push_back(now);
 }
 
 void rate_limit::SetPeers(time_point now, const limit_statement& statement, std::uint32_t sends) {
   statement_ = Latest(statement_, statement);
-  peer_sends_ = sends;
-  if (sends >= PeerSends(now)) {
-    peak_peer_sends_ = sends;
-    peak_at_ = now;
+  DropOld(now, peer_sends_);
+  const std::size_t known = PeerSends(now);
+  if (sends > known) {
+    peer_sends_.insert(peer_sends_.end(), sends - known, now);
   }
 }
 
@@ -54,30 +69,43 @@
                               kMaxWindow);
 }
 
-double rate_limit::PeerSends(time_point now) const {
-  const double passed = std::chrono::duration<double>(now - peak_at_) / Window();
-  return std::max<double>(peer_sends_, peak_peer_sends_ * std::max(0.0, 1 - passed));
+double rate_limit::Allowed() const {
+  return std::max(1.0, Rate() * std::chrono::duration<double>(Window()).count());
+}
+
+std::size_t rate_limit::PeerSends(time_point now) const {
+  return CountSince(now - Window(), peer_sends_);
 }
 
 std::uint32_t rate_limit::OwnSends(time_point now) const {
-  if (!is_limited()) {
-    return 0;
+  return is_limited() ? static_cast<std::uint32_t>(CountSince(now - Window(), sends_)) : 0;
+}
+
+double rate_limit::Room(time_point now) const {
+  return is_limited() ? Allowed() - OwnSends(now) - static_cast<double>(PeerSends(now))
+                      : std::numeric_limits<double>::infinity();
+}
+
+duration rate_limit::UnusedRoomAge(time_point now) const {
+  std::vector<time_point> sends;
+  sends.reserve(sends_.size() + peer_sends_.size());
+  std::ranges::merge(sends_, peer_sends_, std::back_inserter(sends));
+  if (sends.empty()) {
+    return kMaxWindow;
   }
-  const duration window = Window();
-  return static_cast<std::uint32_t>(
-      std::ranges::count_if(sends_, [&](time_point sent) { return sent + window > now; }));
+  // Room came when the last of the sends in excess left the window.
+  const auto left = static_cast<std::size_t>(Allowed()) - 1;
+  const time_point since = sends.size() <= left
+                               ? sends.back()
+                               : std::max(sends.back(), sends[sends.size() - 1 - left] + Window());
+  return std::max(duration::zero(), now - since);
 }
 
 duration rate_limit::TimeToRoom(time_point now) const {
-  if (!is_limited()) {
-    return duration::zero();
-  }
-  const double allowed = std::max(1.0, Rate() * std::chrono::duration<double>(Window()).count());
-  const double excess = OwnSends(now) + PeerSends(now) + 1 - allowed;
-  if (excess <= 0) {
-    return duration::zero();
-  }
-  return std::chrono::ceil<duration>(std::chrono::duration<double>(excess / Rate()));
+  const double missing = 1 - Room(now);
+  return missing <= 0
+             ? duration::zero()
+             : std::chrono::ceil<duration>(std::chrono::duration<double>(missing / Rate()));
 }
 
 }  // namespace tarragon::routing
