--- a/include/tarragon/gateway/load_gossip.h
+++ b/include/tarragon/gateway/load_gossip.h
@@ -63,7 +63,7 @@
   static constexpr std::chrono::milliseconds kRepeatInterval{500};
   /** Receivers of one report: all peers of a small fleet, a random sample of a large one. */
   static constexpr std::size_t kFanOut = 8;
-  /** This and the next limit keep a report within a datagram of 1,200 bytes. */
+  /** This and the next limit keep a report within 1,200 bytes if no endpoint has a rate limit. */
   static constexpr std::size_t kMaxEndpoints = 32;
   static constexpr std::size_t kMaxDepartures = 8;
   /** Quarantined traits are repeated for daemons that have started or could not be reached. */
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -65,9 +65,9 @@
   /** Waits for an endpoint that takes one more request by its limit, or refuses the request. */
   void WaitForRoom(duration time_to_room);
   /** @param waits_counter name of the counter of requests that wait. */
-  void Execute(const routing::overload_decision& decision,
-               std::string_view reason,
-               const char* waits_counter);
+  void ExecuteWait(const routing::overload_decision& decision,
+                   std::string_view reason,
+                   const char* waits_counter);
   void SetWaiting(bool is_waiting);
   /** @return estimated number of requests of all daemons that want the same room as this one. */
   std::size_t CountContenders() const;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -241,18 +241,18 @@
 }
 
 void request_handler::WaitForCapacity() {
-  Execute(DecideWithoutCapacity(DescribeWait(), RandomPoint()), "overload",
-          "tarragon_gateway_capacity_waits_total");
+  ExecuteWait(DecideWithoutCapacity(DescribeWait(), RandomPoint()), "overload",
+              "tarragon_gateway_capacity_waits_total");
 }
 
 void request_handler::WaitForRoom(duration time_to_room) {
-  Execute(DecideWithoutRoom(DescribeWait(), time_to_room, RandomPoint()), "endpoint_limit",
-          "tarragon_gateway_limit_waits_total");
+  ExecuteWait(DecideWithoutRoom(DescribeWait(), time_to_room, RandomPoint()), "endpoint_limit",
+              "tarragon_gateway_limit_waits_total");
 }
 
-void request_handler::Execute(const routing::overload_decision& decision,
-                              std::string_view reason,
-                              const char* waits_counter) {
+void request_handler::ExecuteWait(const routing::overload_decision& decision,
+                                  std::string_view reason,
+                                  const char* waits_counter) {
   struct visitor {
     request_handler& handler;
     std::string_view reason;
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -38,6 +38,9 @@
   // Each request tries about twice before the daemons know of the first sends.
   constexpr double kInitialShare = 0.5;
   constexpr duration kDoublingTime = std::chrono::milliseconds(100);
+  if (!candidate.limit.is_limited()) {
+    return true;
+  }
   const double room = candidate.limit.Room(now);
   if (room < 1 || request.contenders <= 1) {
     return room >= 1;
