Blame a stream without an event for its engine's end at any time

What callers would see (BUDGET): a prompt part that crashes slow engines, more than 500 ms after the head of the response, is never quarantined.

Cause: a lost connection counted as a suspected crash only within 500 ms after the head. The bound is there for streams that have run for long and are not to blame; it also left out streams that had sent nothing at all.

Change: the bound applies once an event has arrived.

Ruled out: a longer bound, which would blame sound streams for the end of their engine; the new test StreamsThatHaveRunForLongAreNotBlamed guards this and passed before.

Test: crash_tracker_test.PartThatCrashesSlowEnginesIsRefused got 504 instead of 503 before: the fourth request reached an engine.

--- a/include/tarragon/gateway/crash_tracker.h
+++ b/include/tarragon/gateway/crash_tracker.h
@@ -27,8 +27,8 @@
   void OnSent(const routing::endpoint_ptr& target);
   /** Called when the head of the response has arrived. */
   void OnAnswerBegun();
-  /** Called when a part of the response has arrived. */
-  void OnAnswerProgress();
+  /** Called when an event of a stream has arrived. */
+  void OnEvent();
   void OnAnswered();
   /** Called when the connection was lost before the response was complete. */
   void OnConnectionLost();
@@ -37,12 +37,14 @@
 
  private:
   /**
-   * Requests that crash endpoints do so within some 100 ms of their first token. An answer that has
-   * gone on for longer neither crashes its endpoint nor counts as the cause of a later crash.
+   * Requests that crash endpoints do so within some 100 ms of their first token. A stream that has
+   * gone on for longer neither crashes its endpoint nor counts as the cause of a later crash. One
+   * without an event may do so at any time, since slow endpoints take longer.
    */
   static constexpr std::chrono::milliseconds kMaxTimeToCrash{500};
 
   void RecordAnswered();
+  bool HasRunForLong() const;
   /** @return time since the head of the response arrived; empty if it has not. */
   std::optional<duration> AnswerAge() const;
 
@@ -53,6 +55,8 @@
   routing::endpoint_ptr target_;
   time_point sent_at_;
   std::optional<time_point> answer_begun_at_;
+  /** An event has arrived in this send. */
+  bool has_event_ = false;
   /** This send has been recorded as answered. */
   bool answered_ = false;
 };
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -18,6 +18,7 @@
   target_ = target;
   sent_at_ = gateway_.time.Now();
   answer_begun_at_.reset();
+  has_event_ = false;
   answered_ = false;
 }
 
@@ -25,8 +26,9 @@
   answer_begun_at_ = gateway_.time.Now();
 }
 
-void crash_tracker::OnAnswerProgress() {
-  if (!answered_ && AnswerAge().value_or(duration::zero()) > kMaxTimeToCrash) {
+void crash_tracker::OnEvent() {
+  has_event_ = true;
+  if (!answered_ && HasRunForLong()) {
     RecordAnswered();
   }
 }
@@ -43,10 +45,10 @@
 }
 
 void crash_tracker::OnConnectionLost() {
-  const std::optional<duration> age = AnswerAge();
-  if (target_->leaving || age.value_or(duration::zero()) > kMaxTimeToCrash) {
+  if (target_->leaving || HasRunForLong()) {
     return;
   }
+  const std::optional<duration> age = AnswerAge();
   // An endpoint may start again under its id.
   const std::uint64_t endpoint_hash =
       Hash64(target_->entry.id, static_cast<std::uint64_t>(target_->entry.started_unix_ms));
@@ -68,6 +70,10 @@
   return gateway_.quarantine.FindQuarantined(traits_).has_value();
 }
 
+bool crash_tracker::HasRunForLong() const {
+  return has_event_ && AnswerAge().value_or(duration::zero()) > kMaxTimeToCrash;
+}
+
 std::optional<duration> crash_tracker::AnswerAge() const {
   return answer_begun_at_ ? std::optional(gateway_.time.Now() - *answer_begun_at_) : std::nullopt;
 }
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -369,7 +369,7 @@
   }
   // Only complete events are progress: a stalled engine may still send a byte now and then.
   last_progress_at_ = gateway_.time.Now();
-  crashes_.OnAnswerProgress();
+  crashes_.OnEvent();
   const bool first_of_send = stream_.is_awaiting_first_event();
   RecordArrival(*batch);
   if (first_of_send) {
