Let requests that lose the contention for room wait as long as the contention assumes

Cause: the chance to use room is chosen so that each request tries about twice before the daemons hear of the first sends, about 60 ms. But the time to room of a request that loses is zero, and DecideWithoutRoom then waits for 10 ms only, so that each tried six times. The test that was to show this had delays of its own.

Change: zero means the usual delay of 25 to 75 ms. The initial chance is halved and doubles each 200 ms instead of 100 ms.

--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -35,9 +35,10 @@
  * sends in time. The chance grows while room is not used, as fewer requests may be waiting.
  */
 bool WinsRoom(time_point now, const endpoint& candidate, const pick_request& request) {
-  // Each request tries about twice before the daemons know of the first sends.
-  constexpr double kInitialShare = 0.5;
-  constexpr duration kDoublingTime = std::chrono::milliseconds(100);
+  // Each request tries about twice before the daemons know of the first sends. Half of the room is
+  // left, since more requests than expected may win.
+  constexpr double kInitialShare = 0.25;
+  constexpr duration kDoublingTime = std::chrono::milliseconds(200);
   if (!candidate.limit.is_limited()) {
     return true;
   }
--- a/src/routing/overload_policy.cc
+++ b/src/routing/overload_policy.cc
@@ -57,8 +57,12 @@
   }
   const auto poll_delay =
       duration_cast<duration>(kMinPollDelay + (kMaxPollDelay - kMinPollDelay) * point);
-  return wait_for_capacity{duration_cast<milliseconds>(
-      std::max<duration>(kMinRoomPollDelay, std::min(poll_delay, time_to_room)))};
+  // Room that this request has left to others is gone before the daemons hear of it.
+  const duration delay =
+      time_to_room > duration::zero()
+          ? std::max<duration>(kMinRoomPollDelay, std::min(poll_delay, time_to_room))
+          : poll_delay;
+  return wait_for_capacity{duration_cast<milliseconds>(delay)};
 }
 
 double AllowedMemoryShare(const waiting_request& request) {
