Keep streams that lose their engines within the limits of endpoints

Cause: a stream that had begun went to any engine beyond its limit, and to the engine with its copy without any check.

Change: such streams contend for room as waiting requests do. The room has a quarter and one request more for them. A stream that loses waits, for room at the engine with its copy if there is a copy, until three objectives after its last event.

LostStreamWaitsForRoom needs limit_use, and could not be run on the code before.

--- a/include/tarragon/gateway/generation_copies.h
+++ b/include/tarragon/gateway/generation_copies.h
@@ -54,7 +54,10 @@
   /** @return whether there is a copy to resume from. */
   bool HasCopy() const { return backup_ || standby_location_; }
 
-  /** Removes and returns the preferred copy at an engine that accepts work. */
+  /** @return the preferred copy at an engine that accepts work. */
+  std::optional<copy_location> FindCopy();
+
+  /** Same, and removes the copy. */
   std::optional<copy_location> TakeCopy();
 
   /** Frees the standby copy and the reservations of a finished generation. */
@@ -67,6 +70,8 @@
   void OnCopyCompleted(const kv_copy& copy) override;
   void OnCopyFailed(std::string_view reason) override;
 
+  /** Drops copies at engines that do not accept work. @return the preferred one, or null. */
+  std::optional<copy_location>* PreferredCopy();
   bool WantsCopies() const;
   /** Starts a standby copy if the engine is leaving and no adequate copy exists. */
   void EnsureCopy();
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -150,6 +150,8 @@
   /** The request has waited for an endpoint with capacity or room. */
   bool waited_ = false;
   bool is_waiting_ = false;
+  /** The engine with the copy to resume from has reached its limit. */
+  bool awaits_copy_ = false;
   time_point waiting_since_;
   int runs_ = 0;
   run_verdict verdict_ = run_verdict::kNotRun;
--- a/include/tarragon/gateway/stream_progress.h
+++ b/include/tarragon/gateway/stream_progress.h
@@ -41,6 +41,8 @@
   /** @return whether the current engine has not sent an event yet. */
   bool is_awaiting_first_event() const { return events_in_send_ == 0; }
   bool has_begun() const { return last_arrival_.has_value(); }
+  /** @return when the last events arrived; empty before the first ones. */
+  std::optional<time_point> last_arrival() const { return last_arrival_; }
   bool has_partial_event() const { return splitter_.has_partial_event(); }
   std::optional<std::uint64_t> last_event() const { return last_event_; }
   std::uint64_t events_sent() const { return events_sent_; }
--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -117,8 +117,8 @@
   std::size_t contenders = 1;
   /** Time for which the request has waited for room. */
   duration waited{0};
-  /** The request goes to an endpoint beyond its limit rather than not at all. */
-  bool may_exceed_limit = false;
+  /** The request is a stream whose caller has received a part of the response. */
+  bool has_begun = false;
   /** Ids of endpoints that must not be used, such as those that have failed the request. */
   std::vector<std::string> excluded;
 };
@@ -127,7 +127,7 @@
 struct pick_result {
   /** Null if no endpoint accepts work. */
   endpoint_ptr chosen;
-  /** Whether the endpoint takes one more request now, by its limit. */
+  /** Whether the endpoint takes one more request without exceeding its limit. */
   bool is_within_limit = false;
   /** Whether the endpoint has a free slot and enough memory, by the load of all daemons. */
   bool has_capacity = false;
@@ -160,6 +160,9 @@
                    const endpoint_registry& registry,
                    const pick_request& request) const;
 
+  /** @return whether the candidate's limit allows to send the request there now. */
+  static bool TakesByLimit(time_point now, const endpoint& candidate, const pick_request& request);
+
   /**
    * Picks an engine for a copy of a generation, at random among the engines with capacity and
    * weighted by free memory. All daemons copy the generations of a leaving engine at the same time;
--- a/include/tarragon/routing/overload_policy.h
+++ b/include/tarragon/routing/overload_policy.h
@@ -2,6 +2,7 @@
 #define TARRAGON_ROUTING_OVERLOAD_POLICY_H_
 
 #include <chrono>
+#include <optional>
 #include <variant>
 
 #include "tarragon/base/clock.h"
@@ -18,6 +19,8 @@
   duration remaining{0};
   /** The request may have a long output, which occupies memory for seconds. */
   bool is_long = false;
+  /** Time since the last event of a stream that has begun; empty for other requests. */
+  std::optional<duration> pause = {};
 };
 
 /** Look for an engine with capacity again after `delay`. */
@@ -43,7 +46,8 @@
 /**
  * Decides what becomes of a request while all endpoints that are left have got as many requests as
  * they take by their limits. It waits for room only where that comes soon: the others are refused
- * at once, since limits last for seconds.
+ * at once, since limits last for seconds. A stream that has begun would be lost, so that it waits
+ * until its caller is about to give up.
  * @param time_to_room estimated time until an endpoint takes one more request.
  * @param point uniform random value in [0, 1), which spreads retries and polls.
  */
--- a/include/tarragon/routing/rate_limit.h
+++ b/include/tarragon/routing/rate_limit.h
@@ -27,6 +27,13 @@
 /** @return the later of two statements about an endpoint; of two at once, the lower limit. */
 limit_statement Latest(const limit_statement& a, const limit_statement& b);
 
+/** Which requests an endpoint with a limit is to take. */
+enum class limit_use : std::uint8_t {
+  kWithinLimit,
+  /** Streams that have begun and would be lost: an endpoint takes a few beyond its limit. */
+  kBegunStream,
+};
+
 /** How an answer has changed what is known about an endpoint's limit. */
 enum class limit_change : std::uint8_t { kNone, kBegun, kChanged, kEnded };
 
@@ -54,16 +61,16 @@
   std::uint32_t OwnSends(time_point now) const;
 
   /** @return requests that the endpoint takes now; infinite if there is no limit. */
-  double Room(time_point now) const;
+  double Room(time_point now, limit_use use = limit_use::kWithinLimit) const;
 
   /** @return whether the endpoint takes one more request now. */
   bool HasRoom(time_point now) const { return Room(now) >= 1; }
 
   /** @return time for which there has been room and nothing was sent; zero without room. */
-  duration UnusedRoomAge(time_point now) const;
+  duration UnusedRoomAge(time_point now, limit_use use = limit_use::kWithinLimit) const;
 
   /** @return estimated time until the endpoint takes one more request; zero if it does now. */
-  duration TimeToRoom(time_point now) const;
+  duration TimeToRoom(time_point now, limit_use use = limit_use::kWithinLimit) const;
 
  private:
   /**
@@ -76,6 +83,12 @@
   static constexpr double kMinPerSecond = 0.1;
   /** Answers may name a slightly different rate each time; smaller changes are ignored. */
   static constexpr double kMinRelativeChange = 0.05;
+  /**
+   * Streams that have begun may exceed what is allowed within the window by this share and number:
+   * less than the platform tolerates, as several daemons may send at once.
+   */
+  static constexpr double kBegunStreamShare = 0.25;
+  static constexpr double kBegunStreams = 1;
 
   /** Drops the times before the longest window. */
   static void DropOld(time_point now, std::deque<time_point>& sends);
@@ -83,7 +96,7 @@
   /** @return time that is long enough for one request. */
   duration Window() const;
   /** @return requests that the endpoint may get within the window. */
-  double Allowed() const;
+  double Allowed(limit_use use) const;
   std::size_t PeerSends(time_point now) const;
 
   limit_statement statement_;
--- a/src/gateway/generation_copies.cc
+++ b/src/gateway/generation_copies.cc
@@ -198,17 +198,27 @@
   ScheduleEnsureCopy(kStandbyRetryDelay);
 }
 
-std::optional<copy_location> generation_copies::TakeCopy() {
+std::optional<copy_location>* generation_copies::PreferredCopy() {
   // The standby copy is preferred because its engine has confirmed it.
   for (std::optional<copy_location>* candidate : {&standby_location_, &backup_}) {
-    std::optional<copy_location> location = std::exchange(*candidate, std::nullopt);
     const routing::endpoint_ptr engine =
-        location ? gateway_.endpoints.Find(location->endpoint_id) : nullptr;
+        *candidate ? gateway_.endpoints.Find((*candidate)->endpoint_id) : nullptr;
     if (engine && engine->accepts_work()) {
-      return location;
+      return candidate;
     }
+    candidate->reset();
   }
-  return std::nullopt;
+  return nullptr;
+}
+
+std::optional<copy_location> generation_copies::FindCopy() {
+  const std::optional<copy_location>* const found = PreferredCopy();
+  return found != nullptr ? *found : std::nullopt;
+}
+
+std::optional<copy_location> generation_copies::TakeCopy() {
+  std::optional<copy_location>* const found = PreferredCopy();
+  return found != nullptr ? std::exchange(*found, std::nullopt) : std::nullopt;
 }
 
 void generation_copies::Release() {
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -125,8 +125,7 @@
   requirements.memory_share = AllowedMemoryShare(DescribeWait());
   requirements.contenders = CountContenders();
   requirements.waited = is_waiting_ ? gateway_.time.Now() - waiting_since_ : duration::zero();
-  // A stream that has begun would be lost.
-  requirements.may_exceed_limit = response_started_;
+  requirements.has_begun = response_started_;
   requirements.excluded = excluded_endpoints_;
   return requirements;
 }
@@ -143,6 +142,10 @@
     FailRequest("crashes_endpoints", kBadGateway, kQuarantineRetryAfter);
     return;
   }
+  if (awaits_copy_) {
+    ResumeFromCopy();
+    return;
+  }
   const routing::pick_request wanted = MakePickRequest();
   const routing::pick_result pick =
       gateway_.picker.Pick(gateway_.time.Now(), gateway_.endpoints, wanted);
@@ -234,10 +237,14 @@
 }
 
 routing::waiting_request request_handler::DescribeWait() const {
-  return {.age = Age(),
-          .latency_objective = admitted_.route->latency_objective,
-          .remaining = RemainingTime(),
-          .is_long = gateway_.picker.IsLongOutput(admitted_.size)};
+  routing::waiting_request wait{.age = Age(),
+                                .latency_objective = admitted_.route->latency_objective,
+                                .remaining = RemainingTime(),
+                                .is_long = gateway_.picker.IsLongOutput(admitted_.size)};
+  if (const std::optional<time_point> last_arrival = stream_.last_arrival()) {
+    wait.pause = gateway_.time.Now() - *last_arrival;
+  }
+  return wait;
 }
 
 void request_handler::WaitForCapacity() {
@@ -585,13 +592,22 @@
 }
 
 void request_handler::ResumeFromCopy() {
-  const std::optional<copy_location> location = copies_->TakeCopy();
+  awaits_copy_ = false;
+  const std::optional<copy_location> location = copies_->FindCopy();
   if (!location) {
     FailRequest("copy_lost", kBadGateway);
     return;
   }
+  const routing::endpoint_ptr engine = gateway_.endpoints.Find(location->endpoint_id);
+  const time_point now = gateway_.time.Now();
+  if (!routing::endpoint_picker::TakesByLimit(now, *engine, MakePickRequest())) {
+    awaits_copy_ = true;
+    WaitForRoom(engine->limit.TimeToRoom(now, routing::limit_use::kBegunStream));
+    return;
+  }
+  copies_->TakeCopy();
   gateway_.TakeBudget(admitted_.service_name);
-  SendTo(gateway_.endpoints.Find(location->endpoint_id), location);
+  SendTo(engine, location);
   gateway_.log.LogRequest("request_continued", {{"request", id_},
                                                 {"endpoint", location->endpoint_id},
                                                 {"copy", location->reference},
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -29,6 +29,10 @@
   return entropy == 0 ? 0 : static_cast<double>(Hash64(candidate.entry.id, entropy)) / kHashRange;
 }
 
+limit_use LimitUse(const pick_request& request) {
+  return request.has_begun ? limit_use::kBegunStream : limit_use::kWithinLimit;
+}
+
 /**
  * @return whether the request may use the candidate's room. Of the requests that wait for it at all
  * daemons, about as many win as there is room for, since the daemons do not know of each other's
@@ -42,11 +46,12 @@
   if (!candidate.limit.is_limited()) {
     return true;
   }
-  const double room = candidate.limit.Room(now);
+  const double room = candidate.limit.Room(now, LimitUse(request));
   if (room < 1 || request.contenders <= 1) {
     return room >= 1;
   }
-  const duration unused = std::min(candidate.limit.UnusedRoomAge(now), request.waited);
+  const duration unused =
+      std::min(candidate.limit.UnusedRoomAge(now, LimitUse(request)), request.waited);
   const double doublings = std::chrono::duration<double>(unused) / kDoublingTime;
   const double chance =
       kInitialShare * room / static_cast<double>(request.contenders) * std::exp2(doublings);
@@ -158,14 +163,12 @@
     if (!IsUsable(now, *candidate, request)) {
       continue;
     }
-    const bool is_within_limit = WinsRoom(now, *candidate, request);
-    if (!is_within_limit) {
-      const duration wait = candidate->limit.TimeToRoom(now);
+    if (!WinsRoom(now, *candidate, request)) {
+      const duration wait = candidate->limit.TimeToRoom(now, LimitUse(request));
       time_to_room = std::min(wait, time_to_room.value_or(wait));
-      if (!request.may_exceed_limit) {
-        continue;
-      }
+      continue;
     }
+    const bool is_within_limit = candidate->limit.HasRoom(now);
     const bool has_capacity =
         HasCapacity(*candidate, request, request.memory_share.value_or(options_.max_memory_share));
     const std::chrono::duration<double, std::milli> expected{
@@ -179,6 +182,12 @@
   return best;
 }
 
+bool endpoint_picker::TakesByLimit(time_point now,
+                                   const endpoint& candidate,
+                                   const pick_request& request) {
+  return WinsRoom(now, candidate, request);
+}
+
 std::uint64_t endpoint_picker::CopyTargetWeight(const endpoint& candidate,
                                                 const pick_request& request,
                                                 copy_purpose purpose,
--- a/src/routing/overload_policy.cc
+++ b/src/routing/overload_policy.cc
@@ -52,7 +52,9 @@
 overload_decision DecideWithoutRoom(const waiting_request& request,
                                     duration time_to_room,
                                     double point) {
-  if (request.age + time_to_room > kMaxRoomWaitInObjectives * request.latency_objective) {
+  const double max_objectives = request.pause ? kMaxWaitInObjectives : kMaxRoomWaitInObjectives;
+  const duration waited = request.pause.value_or(request.age);
+  if (waited + time_to_room > max_objectives * request.latency_objective) {
     return Refuse(request, time_to_room, point);
   }
   const auto poll_delay =
--- a/src/routing/rate_limit.cc
+++ b/src/routing/rate_limit.cc
@@ -69,8 +69,10 @@
                               kMaxWindow);
 }
 
-double rate_limit::Allowed() const {
-  return std::max(1.0, Rate() * std::chrono::duration<double>(Window()).count());
+double rate_limit::Allowed(limit_use use) const {
+  const double allowed = std::max(1.0, Rate() * std::chrono::duration<double>(Window()).count());
+  return use == limit_use::kBegunStream ? (1 + kBegunStreamShare) * allowed + kBegunStreams
+                                        : allowed;
 }
 
 std::size_t rate_limit::PeerSends(time_point now) const {
@@ -81,12 +83,12 @@
   return is_limited() ? static_cast<std::uint32_t>(CountSince(now - Window(), sends_)) : 0;
 }
 
-double rate_limit::Room(time_point now) const {
-  return is_limited() ? Allowed() - OwnSends(now) - static_cast<double>(PeerSends(now))
+double rate_limit::Room(time_point now, limit_use use) const {
+  return is_limited() ? Allowed(use) - OwnSends(now) - static_cast<double>(PeerSends(now))
                       : std::numeric_limits<double>::infinity();
 }
 
-duration rate_limit::UnusedRoomAge(time_point now) const {
+duration rate_limit::UnusedRoomAge(time_point now, limit_use use) const {
   std::vector<time_point> sends;
   sends.reserve(sends_.size() + peer_sends_.size());
   std::ranges::merge(sends_, peer_sends_, std::back_inserter(sends));
@@ -94,15 +96,15 @@
     return kMaxWindow;
   }
   // Room came when the last of the sends in excess left the window.
-  const auto left = static_cast<std::size_t>(Allowed()) - 1;
+  const auto left = static_cast<std::size_t>(Allowed(use)) - 1;
   const time_point since = sends.size() <= left
                                ? sends.back()
                                : std::max(sends.back(), sends[sends.size() - 1 - left] + Window());
   return std::max(duration::zero(), now - since);
 }
 
-duration rate_limit::TimeToRoom(time_point now) const {
-  const double missing = 1 - Room(now);
+duration rate_limit::TimeToRoom(time_point now, limit_use use) const {
+  const double missing = 1 - Room(now, use);
   return missing <= 0
              ? duration::zero()
              : std::chrono::ceil<duration>(std::chrono::duration<double>(missing / Rate()));
--- a/tests/gateway/endpoint_limit_test.cc
+++ b/tests/gateway/endpoint_limit_test.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -43,5 +44,54 @@
   EXPECT_EQ(statuses, std::vector<int>(60, 200));
 }
 
+/** A stream with a backup at an engine that has reached its limit. */
+class limited_backup_test : public request_handler_fixture {
+ protected:
+  limited_backup_test()
+      : primary(loop, [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(1)); }),
+        backup(loop,
+               [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(2) + std::string(kLastChunk)); }) {
+    ListEndpoint("e1", "engines", primary.address());
+    ListEndpoint("e2", "engines", backup.address());
+    gateway.endpoints.Find("e2")->own_load = {.requests = 3, .unread_tokens = 1000};
+  }
+
+  /** @param room_after time until the backup's engine takes another request. */
+  void LoseEngine(std::chrono::milliseconds room_after) {
+    handler = Start("POST", "/report/1", "b", LongGeneration());
+    ASSERT_TRUE(RunUntil([&] { return response.body == EventsText(1, 1); }));
+    constexpr double kPerSecond = 5;
+    constexpr std::chrono::seconds kWindow{4};
+    routing::rate_limit& limit = gateway.endpoints.Find("e2")->limit;
+    limit.RecordAnswer(kPerSecond);
+    const time_point sent = time.Now() - kWindow + room_after;
+    while (limit.Room(sent, routing::limit_use::kBegunStream) >= 1) {
+      limit.RecordSend(sent);
+    }
+    primary.connections.at(0)->Reset();
+  }
+
+  scripted_endpoint primary;
+  scripted_endpoint backup;
+  std::shared_ptr<request_handler> handler;
+};
+
+// Guards against streams that lose their engine and move to an engine far beyond its limit.
+TEST_F(limited_backup_test, LostStreamWaitsForRoom) {
+  LoseEngine(std::chrono::milliseconds(300));
+  EXPECT_FALSE(RunFor(std::chrono::milliseconds(200), [&] { return !backup.connections.empty(); }));
+  ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_TRUE(response.ended);
+  EXPECT_EQ(response.body, EventsText(1, 2));
+}
+
+// Guards against a stream that waits for room after its caller has given up.
+TEST_F(limited_backup_test, LostStreamIsAbortedWithoutRoom) {
+  LoseEngine(std::chrono::seconds(3));
+  ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_TRUE(response.aborted);
+  EXPECT_TRUE(backup.connections.empty());
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
--- a/tests/routing/overloaded_fleet_test.cc
+++ b/tests/routing/overloaded_fleet_test.cc
@@ -30,7 +30,8 @@
 /** Daemons with more waiting requests than all their limited endpoints take. */
 class overloaded_fleet final {
  public:
-  explicit overloaded_fleet(std::uint64_t seed) : random_(seed), arrivals_(kEndpoints) {
+  explicit overloaded_fleet(std::uint64_t seed)
+      : random_(seed), waiting_at_(kDaemons), arrivals_(kEndpoints) {
     registries_.resize(kDaemons);
     for (endpoint_registry& registry : registries_) {
       for (std::size_t i = 0; i < kEndpoints; ++i) {
@@ -46,16 +47,20 @@
 
   /** Plays `waiting` requests that look for room; others take their places. */
   void Play(std::size_t waiting, seconds time) {
-    std::vector<std::size_t> waiting_at(kDaemons);
     for (std::size_t i = 0; i < waiting; ++i) {
       const std::size_t daemon = random_() % kDaemons;
-      ++waiting_at[daemon];
+      ++waiting_at_[daemon];
       polls_.push({kStart + PollDelay(), daemon, kStart});
     }
     while (polls_.top().at < kStart + time) {
       const poll next = polls_.top();
       polls_.pop();
-      const std::optional<milliseconds> delay = Poll(next, waiting_at[next.daemon]);
+      const std::optional<milliseconds> delay = Poll(next);
+      if (next.has_begun) {
+        const bool is_first = next.at == next.waiting_since;
+        waiting_at_[next.daemon] += delay && is_first ? 1 : 0;
+        waiting_at_[next.daemon] -= !delay && !is_first ? 1 : 0;
+      }
       if (delay) {
         polls_.push({next.at + *delay, next.daemon, next.waiting_since, next.has_begun});
       } else if (!next.has_begun) {
@@ -104,7 +109,7 @@
   duration PollDelay() { return milliseconds(25 + random_() % 50); }
 
   /** @return time to wait; empty if the request was sent or refused. */
-  std::optional<milliseconds> Poll(const poll& now, std::size_t waiting) {
+  std::optional<milliseconds> Poll(const poll& now) {
     endpoint_registry& registry = registries_[now.daemon];
     for (std::size_t i = 0; i < kEndpoints; ++i) {
       registry.Find(Id(i))->limit.SetPeers(now.at, {}, PeerSends(i, now));
@@ -112,8 +117,8 @@
     pick_request wanted;
     wanted.service = "s";
     wanted.entropy = random_();
-    wanted.contenders = kDaemons * std::max<std::size_t>(1, waiting);
-    wanted.may_exceed_limit = now.has_begun;
+    wanted.contenders = kDaemons * std::max<std::size_t>(1, waiting_at_[now.daemon]);
+    wanted.has_begun = now.has_begun;
     wanted.waited = now.at - now.waiting_since;
     const pick_result pick = picker_.Pick(now.at, registry, wanted);
     if (pick.chosen) {
@@ -123,7 +128,10 @@
       return std::nullopt;
     }
     const waiting_request request{
-        .age = wanted.waited, .latency_objective = kObjective, .remaining = seconds(30)};
+        .age = wanted.waited,
+        .latency_objective = kObjective,
+        .remaining = seconds(30),
+        .pause = now.has_begun ? std::optional(wanted.waited) : std::nullopt};
     const double point = std::uniform_real_distribution<>(0, 1)(random_);
     const auto decision = DecideWithoutRoom(request, pick.time_to_room.value(), point);
     const auto* const wait = std::get_if<wait_for_capacity>(&decision);
@@ -140,6 +148,8 @@
   }
 
   std::mt19937_64 random_;
+  /** Requests that wait at each daemon. */
+  std::vector<std::size_t> waiting_at_;
   std::vector<endpoint_registry> registries_;
   endpoint_picker picker_;
   std::vector<std::vector<arrival>> arrivals_;
@@ -170,7 +180,7 @@
 // all move to endpoints that have reached their limit (67 VMs: 15 requests in 4 s instead of 11).
 TEST(OverloadedFleetTest, StreamsThatMoveAtOnceKeepToTheLimit) {
   for (const std::size_t streams : {40, 150, 400}) {
-    for (const std::uint64_t seed : {1, 2, 3}) {
+    for (const std::uint64_t seed : {1, 2, 3, 6, 14}) {
       overloaded_fleet fleet(seed);
       fleet.MoveStreams(streams, kStart + seconds(10));
       fleet.Play(/*waiting=*/100, seconds(20));
--- a/tests/routing/rate_limit_test.cc
+++ b/tests/routing/rate_limit_test.cc
@@ -202,7 +202,7 @@
 // Guards against a stream that is broken off because the engines left are limited.
 TEST_F(limited_endpoint_test, StreamThatHasBegunMayExceedTheLimit) {
   UseUp("a");
-  request.may_exceed_limit = true;
+  request.has_begun = true;
   EXPECT_EQ(picker.Pick(kStart, registry, request).chosen->entry.id, "b");
   UseUp("b");
   EXPECT_NE(picker.Pick(kStart, registry, request).chosen, nullptr);
