Do not count time without capacity as contention for room

Cause: the chance to use room grows with the time in which nobody has used it and in which the request has waited. Engines had room by their limits, but no free memory, so that both times passed without anybody wanting the room. When memory got free, all waiting requests had a chance of one.

Change: room_contention measures the time since the request last found room without capacity.

Ruled out: the time at which an endpoint was last full, which would have to be kept for each endpoint and size of request.

Test: OverloadedFleetTest.RequestsThatWaitedForCapacityDoNotAllTakeTheSameRoom saw up to 18 of 11 with the reset removed.

--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -25,6 +25,7 @@
 #include "tarragon/routing/load_reservation.h"
 #include "tarragon/routing/overload_policy.h"
 #include "tarragon/routing/recovery_planner.h"
+#include "tarragon/routing/room_contention.h"
 
 namespace tarragon::gateway {
 
@@ -152,7 +153,7 @@
   bool is_waiting_ = false;
   /** The engine with the copy to resume from has reached its limit. */
   bool awaits_copy_ = false;
-  time_point waiting_since_;
+  routing::room_contention contention_;
   int runs_ = 0;
   run_verdict verdict_ = run_verdict::kNotRun;
   std::vector<std::string> excluded_endpoints_;
--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -115,7 +115,7 @@
    * for a request that has just arrived.
    */
   std::size_t contenders = 1;
-  /** Time for which the request has waited for room. */
+  /** Time for which the request has contended for room. */
   duration waited{0};
   /** The request is a stream whose caller has received a part of the response. */
   bool has_begun = false;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -124,7 +124,7 @@
   requirements.entropy = gateway_.random();
   requirements.memory_share = AllowedMemoryShare(DescribeWait());
   requirements.contenders = CountContenders();
-  requirements.waited = is_waiting_ ? gateway_.time.Now() - waiting_since_ : duration::zero();
+  requirements.waited = contention_.Age(gateway_.time.Now());
   requirements.has_begun = response_started_;
   requirements.excluded = excluded_endpoints_;
   return requirements;
@@ -185,6 +185,7 @@
   TARRAGON_INVARIANT(copy || !response_started_ || admitted_.route->resumable,
                      "a started stream that is not resumable may only be resumed from a copy");
   SetWaiting(false);
+  contention_.OnSent();
   target_ = target;
   const bool is_long = gateway_.picker.IsLongStream(MakePickRequest());
   reservation_ = {target_,
@@ -248,11 +249,13 @@
 }
 
 void request_handler::WaitForCapacity() {
+  contention_.OnNoCapacity();
   ExecuteWait(DecideWithoutCapacity(DescribeWait(), RandomPoint()), "overload",
               "tarragon_gateway_capacity_waits_total");
 }
 
 void request_handler::WaitForRoom(duration time_to_room) {
+  contention_.OnNoRoom(gateway_.time.Now());
   ExecuteWait(DecideWithoutRoom(DescribeWait(), time_to_room, RandomPoint()), "endpoint_limit",
               "tarragon_gateway_limit_waits_total");
 }
@@ -281,7 +284,6 @@
 
 void request_handler::SetWaiting(bool is_waiting) {
   if (std::exchange(is_waiting_, is_waiting) != is_waiting) {
-    waiting_since_ = gateway_.time.Now();
     std::size_t& count = gateway_.waiting_requests[admitted_.service_name];
     count = is_waiting ? count + 1 : count - 1;
   }
--- a/tests/routing/overloaded_fleet_test.cc
+++ b/tests/routing/overloaded_fleet_test.cc
@@ -11,6 +11,7 @@
 
 #include "tarragon/routing/endpoint_picker.h"
 #include "tarragon/routing/overload_policy.h"
+#include "tarragon/routing/room_contention.h"
 
 namespace tarragon::routing {
 namespace {
@@ -20,6 +21,7 @@
 
 constexpr std::size_t kDaemons = 66;
 constexpr std::size_t kEndpoints = 20;
+constexpr std::uint32_t kSlots = 24;
 constexpr double kPerSecond = 1;
 constexpr seconds kWindow{4};
 constexpr milliseconds kReportDelay{60};
@@ -38,7 +40,7 @@
         endpoint_entry entry;
         entry.id = Id(i);
         entry.service = "s";
-        entry.slots = 24;
+        entry.slots = kSlots;
         registry.Put(kStart, 1, entry);
         registry.Find(Id(i))->limit.RecordAnswer(kPerSecond);
       }
@@ -50,21 +52,22 @@
     for (std::size_t i = 0; i < waiting; ++i) {
       const std::size_t daemon = random_() % kDaemons;
       ++waiting_at_[daemon];
-      polls_.push({kStart + PollDelay(), daemon, kStart});
+      polls_.push({kStart + PollDelay(), daemon, kStart, false, {}});
     }
     while (polls_.top().at < kStart + time) {
-      const poll next = polls_.top();
+      poll next = polls_.top();
       polls_.pop();
+      const bool is_first = next.at == next.since;
       const std::optional<milliseconds> delay = Poll(next);
       if (next.has_begun) {
-        const bool is_first = next.at == next.waiting_since;
         waiting_at_[next.daemon] += delay && is_first ? 1 : 0;
         waiting_at_[next.daemon] -= !delay && !is_first ? 1 : 0;
       }
       if (delay) {
-        polls_.push({next.at + *delay, next.daemon, next.waiting_since, next.has_begun});
+        next.at += *delay;
+        polls_.push(next);
       } else if (!next.has_begun) {
-        polls_.push({next.at + PollDelay(), next.daemon, next.at});
+        polls_.push({next.at + PollDelay(), next.daemon, next.at, false, {}});
       }
     }
   }
@@ -73,11 +76,14 @@
   void MoveStreams(std::size_t streams, time_point at) {
     for (std::size_t i = 0; i < streams; ++i) {
       const time_point lost = at + milliseconds(random_() % 5);
-      polls_.push({lost, random_() % kDaemons, lost, true});
+      polls_.push({lost, random_() % kDaemons, lost, true, {}});
     }
   }
   std::size_t moved_streams() const { return moved_streams_; }
 
+  /** The endpoints have no capacity until then. */
+  void SetFullUntil(time_point end) { full_until_ = end; }
+
   std::size_t MaxArrivals(std::size_t endpoint) const {
     const std::vector<arrival>& all = arrivals_[endpoint];
     std::size_t most = 0;
@@ -94,9 +100,10 @@
   struct poll {
     time_point at;
     std::size_t daemon;
-    time_point waiting_since;
+    time_point since;
     /** The caller has received a part of the response. */
-    bool has_begun = false;
+    bool has_begun;
+    room_contention contention;
     bool operator>(const poll& other) const { return at > other.at; }
   };
   struct arrival {
@@ -109,31 +116,40 @@
   duration PollDelay() { return milliseconds(25 + random_() % 50); }
 
   /** @return time to wait; empty if the request was sent or refused. */
-  std::optional<milliseconds> Poll(const poll& now) {
+  std::optional<milliseconds> Poll(poll& now) {
     endpoint_registry& registry = registries_[now.daemon];
     for (std::size_t i = 0; i < kEndpoints; ++i) {
-      registry.Find(Id(i))->limit.SetPeers(now.at, {}, PeerSends(i, now));
+      endpoint& known = *registry.Find(Id(i));
+      known.limit.SetPeers(now.at, {}, PeerSends(i, now));
+      known.peer_load.requests = now.at < full_until_ ? kSlots : 0;
     }
     pick_request wanted;
     wanted.service = "s";
     wanted.entropy = random_();
     wanted.contenders = kDaemons * std::max<std::size_t>(1, waiting_at_[now.daemon]);
     wanted.has_begun = now.has_begun;
-    wanted.waited = now.at - now.waiting_since;
+    wanted.waited = now.contention.Age(now.at);
     const pick_result pick = picker_.Pick(now.at, registry, wanted);
-    if (pick.chosen) {
+    if (pick.chosen && (pick.has_capacity || now.has_begun)) {
       pick.chosen->limit.RecordSend(now.at);
       arrivals_[std::stoul(pick.chosen->entry.id.substr(1))].push_back({now.at, now.daemon});
       moved_streams_ += now.has_begun ? 1 : 0;
       return std::nullopt;
     }
-    const waiting_request request{
-        .age = wanted.waited,
-        .latency_objective = kObjective,
-        .remaining = seconds(30),
-        .pause = now.has_begun ? std::optional(wanted.waited) : std::nullopt};
+    const duration age = now.at - now.since;
+    const waiting_request request{.age = age,
+                                  .latency_objective = kObjective,
+                                  .remaining = seconds(30),
+                                  .pause = now.has_begun ? std::optional(age) : std::nullopt};
     const double point = std::uniform_real_distribution<>(0, 1)(random_);
-    const auto decision = DecideWithoutRoom(request, pick.time_to_room.value(), point);
+    overload_decision decision;
+    if (pick.chosen) {
+      now.contention.OnNoCapacity();
+      decision = DecideWithoutCapacity(request, point);
+    } else {
+      now.contention.OnNoRoom(now.at);
+      decision = DecideWithoutRoom(request, pick.time_to_room.value(), point);
+    }
     const auto* const wait = std::get_if<wait_for_capacity>(&decision);
     return wait != nullptr ? std::optional(wait->delay) : std::nullopt;
   }
@@ -154,6 +170,7 @@
   endpoint_picker picker_;
   std::vector<std::vector<arrival>> arrivals_;
   std::size_t moved_streams_ = 0;
+  time_point full_until_;
   std::priority_queue<poll, std::vector<poll>, std::greater<>> polls_;
 };
 
@@ -195,5 +212,20 @@
   }
 }
 
+// Guards against requests that have waited for capacity and all use the first room with capacity,
+// as if nobody had wanted it before (dobrescu-gaz-grown, 66 VMs: seven requests within 64 ms).
+TEST(OverloadedFleetTest, RequestsThatWaitedForCapacityDoNotAllTakeTheSameRoom) {
+  for (const std::size_t waiting : {30, 100, 300}) {
+    for (const std::uint64_t seed : {1, 2, 3}) {
+      overloaded_fleet fleet(seed);
+      fleet.SetFullUntil(kStart + seconds(4));
+      fleet.Play(waiting, seconds(12));
+      for (std::size_t endpoint = 0; endpoint < kEndpoints; ++endpoint) {
+        EXPECT_LE(fleet.MaxArrivals(endpoint), kMaxArrivals) << waiting << " seed " << seed;
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace tarragon::routing
