Do not take responses to other requests for progress of a stream

What callers would see: a stream that was resumed at an engine which sends responses to other requests, again and again, pauses until its deadline instead of going on at a third engine.

Cause: the head of any response counted as progress.

Ruled out: a bound on the number of skipped responses; one late response is normal, and the silence timeout covers the rest.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -311,11 +311,11 @@
 
 void request_handler::OnResponseHead(http::message_head head) {
   const auto self = shared_from_this();
-  last_progress_at_ = gateway_.time.Now();
   skipping_response_ = !IsResponseToThisRequest(head);
   if (skipping_response_) {
     return;
   }
+  last_progress_at_ = gateway_.time.Now();
   crashes_.OnAnswerBegun();
   if (const auto load = gateway_.adapter.ReadLoadReport(head.headers)) {
     target_->slowness.Record(last_progress_at_, load->slowness);
--- /dev/null
+++ b/tests/gateway/stalled_stream_test.cc
@@ -0,0 +1,51 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "gateway/request_handler_fixture.h"
+
+namespace tarragon::gateway {
+namespace {
+
+class stalled_stream_test : public request_handler_fixture {
+ protected:
+  /** Allows a third engine for a stream, so that the second one's silence matters. */
+  stalled_stream_test() {
+    routing::service_config_parts parts;
+    parts.version = 2;
+    parts.routes = {MakeRoute("/short/", routing::repeat_kind::kStream, "engines")};
+    parts.routes[0].resumable = true;
+    parts.routes[0].max_attempts = 3;
+    parts.services = {{"engines", 100, routing::engine_limits{24, 34000, true, true}}};
+    parts.accounts = {{"account", {"key"}, std::nullopt}};
+    gateway.config = routing::service_config::Make(std::move(parts));
+  }
+};
+
+// Guards against a stream that is kept open until its deadline by responses to other requests.
+TEST_F(stalled_stream_test, ResponsesToOtherRequestsAreNoProgress) {
+  scripted_endpoint breaks(loop, [](auto& c) {
+    c.Send(MakeStreamHead() + MakeEvent(1));
+    c.Close();
+  });
+  scripted_endpoint confused(loop, [](auto&) {});
+  ListEndpoint("e1", "engines", breaks.address());
+  ListEndpoint("e2", "engines", confused.address());
+  gateway.endpoints.Find("e2")->own_load = {.requests = 3, .unread_tokens = 1000};
+  const time_point start = time.Now();
+  const auto handler = Start("POST", "/short/1", "b", {{"Deadline-Ms", "2900"}});
+  while (!response.done() && time.Now() < start + std::chrono::milliseconds(2500)) {
+    RunFor(std::chrono::milliseconds(200), [&] { return response.done(); });
+    if (!confused.connections.empty() && !confused.connections[0]->closed_by_peer()) {
+      confused.connections[0]->Send(MakeResponse("200 OK", "late", "", "00000000000000ff"));
+    }
+  }
+  EXPECT_TRUE(response.aborted);
+  EXPECT_EQ(response.body, EventsText(1, 1));
+  RunUntil([&] { return response.done(); });
+}
+
+}  // namespace
+}  // namespace tarragon::gateway
