Run a resumable stream again if the engine with its copy ends while it waits

What callers would see: a resumable stream whose copy is at an engine that has reached its limit is broken off if that engine leaves while the stream waits. Cause: while it waits there is no send whose failure would be planned for.

Ruled out: planning again at each look for room; the copy saves the prefill as long as it exists.

Test: limited_backup_test.ResumableStreamOutlivesTheEngineWithItsCopy was broken off before.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -595,8 +595,13 @@
 }
 
 void request_handler::ResumeFromCopy() {
-  awaits_copy_ = false;
+  const bool has_waited = std::exchange(awaits_copy_, false);
   const std::optional<copy_location> location = copies_->FindCopy();
+  if (!location && has_waited) {
+    constexpr auto kFailure = routing::send_failure::kConnectionLost;
+    ExecuteStep(PlanRecovery(Progress(), kFailure, verdict_), kFailure);
+    return;
+  }
   if (!location) {
     FailRequest("copy_lost", kBadGateway);
     return;
--- a/tests/gateway/endpoint_limit_test.cc
+++ b/tests/gateway/endpoint_limit_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/request_handler_fixture.h"
@@ -57,8 +58,8 @@
   }
 
   /** @param room_after time until the backup's engine takes another request. */
-  void LoseEngine(std::chrono::milliseconds room_after) {
-    handler = Start("POST", "/report/1", "b", LongGeneration());
+  void LoseEngine(std::chrono::milliseconds room_after, std::string target = "/report/1") {
+    handler = Start("POST", std::move(target), "b", LongGeneration());
     ASSERT_TRUE(RunUntil([&] { return response.body == EventsText(1, 1); }));
     constexpr double kPerSecond = 5;
     constexpr std::chrono::seconds kWindow{4};
@@ -93,5 +94,18 @@
   EXPECT_TRUE(backup.connections.empty());
 }
 
+// Guards against losing a resumable stream because the engine with its copy ends while it waits.
+TEST_F(limited_backup_test, ResumableStreamOutlivesTheEngineWithItsCopy) {
+  LoseEngine(std::chrono::seconds(3), "/short/1");
+  EXPECT_FALSE(RunFor(std::chrono::milliseconds(100), [&] { return response.done(); }));
+  ListEndpoint("e2", "engines", backup.address(), /*leaving=*/true);
+  scripted_endpoint other(
+      loop, [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(2) + std::string(kLastChunk)); });
+  ListEndpoint("e3", "engines", other.address());
+  ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_TRUE(response.ended);
+  EXPECT_EQ(response.body, EventsText(1, 2));
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
