Compare the use of a limit with what one daemon can use

Traced: the check is wrong, not the code. The test drops requests that find no room. With two places that are taken for four seconds and random arrivals of one a second, 61% find none (Erlang's loss formula), so that the mean is 15.4 and the bound of 14 is often missed, by a single daemon too.

Change: the bound is 0.7 of what one daemon sends for the same requests, which knows all sends at once. Ruled out: more demand in the test, which would leave out the case. The upper bound is unchanged.

--- a/tests/routing/rate_limit_test.cc
+++ b/tests/routing/rate_limit_test.cc
@@ -149,14 +149,18 @@
   const double per_second = *rc::gen::element(0.5, 1.0, 5.0, 20.0);
   const double demand = per_second * *rc::gen::inRange(2, 9);
   const milliseconds delay{*rc::gen::inRange(5, 100)};
-  std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
-  limited_fleet fleet(daemons, per_second, delay);
-  const std::vector<time_point> sent = fleet.Play(demand, kTime, random);
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  const auto play = [&](std::size_t size) {
+    std::mt19937_64 random(seed);
+    return limited_fleet(size, per_second, delay).Play(demand, kTime, random);
+  };
+  const std::vector<time_point> sent = play(daemons);
   for (auto first = sent.begin(); first != sent.end(); ++first) {
     const auto in_window = std::lower_bound(first, sent.end(), *first + kWindow) - first;
     RC_ASSERT(static_cast<double>(in_window) <= 1.5 * per_second * kWindow.count() + 5);
   }
-  RC_ASSERT(static_cast<double>(sent.size()) >= 0.7 * per_second * kTime.count());
+  // Requests that find no room are dropped, so that even one daemon cannot always use all of it.
+  RC_ASSERT(static_cast<double>(sent.size()) >= 0.7 * static_cast<double>(play(1).size()));
 }
 
 class limited_endpoint_test : public testing::Test {
