Give each test process a block of ports of its own

KNOWN-RED.txt lists a gateway that did not serve within 20 s of its start, seen once; one of two probable causes is a port that is taken between search and start. Test processes start their search at a port derived from their process id, so that two that run at once may search the same ports and both find one free before either gateway listens there.

Change: a process locks one of twenty blocks of 500 ports until it ends. The entry stays in KNOWN-RED.txt: the fault was not seen again, and the other probable cause is not ruled out.

--- a/tests/emulator/gateway_child.cc
+++ b/tests/emulator/gateway_child.cc
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -11,6 +12,7 @@
 #include <asio/ip/tcp.hpp>
 #include <csignal>
 #include <cstdint>
+#include <filesystem>
 #include <fstream>
 #include <utility>
 #include <vector>
@@ -21,19 +23,37 @@
 
 namespace {
 
+constexpr unsigned kFirstPort = 10'000;
+constexpr unsigned kBlocks = 20;
+constexpr unsigned kPortsPerBlock = 500;
+
 /**
- * @return loopback addresses with free ports. The ports lie below the range of ephemeral ports, and
- *     each test process starts at a different one.
+ * @return first port of a block that no other test process uses until this one ends. The ports lie
+ *     below the range of ephemeral ports.
  */
+unsigned ClaimPortBlock() {
+  const std::filesystem::path folder = std::filesystem::temp_directory_path();
+  for (unsigned tried = 0; tried < kBlocks; ++tried) {
+    const unsigned block = (static_cast<unsigned>(::getpid()) + tried) % kBlocks;
+    const std::string path = folder / fmt::format("tarragon-ports-{}.lock", block);
+    const int lock = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+    if (lock >= 0 && ::flock(lock, LOCK_EX | LOCK_NB) == 0) {
+      return kFirstPort + block * kPortsPerBlock;
+    }
+    ::close(lock);
+  }
+  TARRAGON_INVARIANT(false, "all blocks of ports are in use");
+  return 0;
+}
+
+/** @return loopback addresses with free ports. */
 std::vector<std::string> FindFreeAddresses(std::size_t count) {
-  constexpr unsigned kFirstPort = 10'000;
-  constexpr unsigned kPortCount = 10'000;
-  constexpr unsigned kPortsPerProcess = 97;
-  static unsigned next_port = static_cast<unsigned>(::getpid()) * kPortsPerProcess;
+  static const unsigned first_port = ClaimPortBlock();
+  static unsigned next_port = 0;
   asio::io_context loop;
   std::vector<std::string> addresses;
   while (addresses.size() < count) {
-    const auto port = static_cast<std::uint16_t>(kFirstPort + next_port++ % kPortCount);
+    const auto port = static_cast<std::uint16_t>(first_port + next_port++ % kPortsPerBlock);
     asio::ip::tcp::acceptor acceptor(loop, asio::ip::tcp::v4());
     asio::error_code bind_error;
     acceptor.bind({asio::ip::address_v4::loopback(), port}, bind_error);
