--- a/tests/emulator/gateway_child.cc
+++ b/tests/emulator/gateway_child.cc
@@ -48,12 +48,12 @@
 
 /** @return loopback addresses with free ports. */
 std::vector<std::string> FindFreeAddresses(std::size_t count) {
-  static const unsigned first_port = ClaimPortBlock();
+  static const unsigned kBlockStart = ClaimPortBlock();
   static unsigned next_port = 0;
   asio::io_context loop;
   std::vector<std::string> addresses;
   while (addresses.size() < count) {
-    const auto port = static_cast<std::uint16_t>(first_port + next_port++ % kPortsPerBlock);
+    const auto port = static_cast<std::uint16_t>(kBlockStart + next_port++ % kPortsPerBlock);
     asio::ip::tcp::acceptor acceptor(loop, asio::ip::tcp::v4());
     asio::error_code bind_error;
     acceptor.bind({asio::ip::address_v4::loopback(), port}, bind_error);
