--- a/tests/routing/overloaded_fleet_test.cc
+++ b/tests/routing/overloaded_fleet_test.cc
@@ -26,14 +26,15 @@
 constexpr seconds kWindow{4};
 constexpr milliseconds kReportDelay{60};
 constexpr milliseconds kObjective{1800};
-constexpr double kMaxArrivals = 1.5 * kPerSecond * kWindow.count() + 5;
+/** Requests that the platform allows within the window. */
+constexpr double kAllowed = 1.5 * kPerSecond * kWindow.count() + 5;
 constexpr time_point kStart{seconds(100)};
 
-/** Daemons with more waiting requests than all their limited endpoints take. */
+/** Daemons with more requests than all their limited endpoints take. */
 class overloaded_fleet final {
  public:
   explicit overloaded_fleet(std::uint64_t seed)
-      : random_(seed), waiting_at_(kDaemons), arrivals_(kEndpoints) {
+      : random_(seed), waiting_at_(kDaemons), sends_(kEndpoints) {
     registries_.resize(kDaemons);
     for (endpoint_registry& registry : registries_) {
       for (std::size_t i = 0; i < kEndpoints; ++i) {
@@ -52,22 +53,22 @@
     for (std::size_t i = 0; i < waiting; ++i) {
       const std::size_t daemon = random_() % kDaemons;
       ++waiting_at_[daemon];
-      polls_.push({kStart + PollDelay(), daemon, kStart, false, false, {}});
+      polls_.push({kStart + PollDelay(), daemon, request_kind::kWaiting, kStart});
     }
     while (!polls_.empty() && polls_.top().at < kStart + time) {
       poll next = polls_.top();
       polls_.pop();
-      const bool is_first = next.at == next.since;
+      const bool is_first = next.is_first();
       const std::optional<milliseconds> delay = Poll(next);
-      if (next.has_begun || next.is_single) {
+      if (next.kind != request_kind::kWaiting) {
         waiting_at_[next.daemon] += delay && is_first ? 1 : 0;
         waiting_at_[next.daemon] -= !delay && !is_first ? 1 : 0;
       }
       if (delay) {
         next.at += *delay;
         polls_.push(next);
-      } else if (!next.has_begun && !next.is_single) {
-        polls_.push({next.at + PollDelay(), next.daemon, next.at, false, false, {}});
+      } else if (next.kind == request_kind::kWaiting) {
+        polls_.push({next.at + PollDelay(), next.daemon, request_kind::kWaiting, next.at});
       }
     }
   }
@@ -78,7 +79,7 @@
     std::exponential_distribution<> gap(per_second);
     for (time_point at = kStart; at < end;) {
       at += std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap(random_)));
-      polls_.push({at, random_() % kDaemons, at, false, true, {}});
+      polls_.push({at, random_() % kDaemons, request_kind::kArriving, at});
     }
   }
 
@@ -86,7 +87,7 @@
   void MoveStreams(std::size_t streams, time_point at) {
     for (std::size_t i = 0; i < streams; ++i) {
       const time_point lost = at + milliseconds(random_() % 5);
-      polls_.push({lost, random_() % kDaemons, lost, true, false, {}});
+      polls_.push({lost, random_() % kDaemons, request_kind::kBegunStream, lost});
     }
   }
   std::size_t moved_streams() const { return moved_streams_; }
@@ -94,31 +95,38 @@
   /** The endpoints have no capacity until then. */
   void SetFullUntil(time_point end) { full_until_ = end; }
 
-  std::size_t MaxArrivals(std::size_t endpoint) const {
-    const std::vector<arrival>& all = arrivals_[endpoint];
+  std::size_t MaxSendsInWindow(std::size_t endpoint) const {
+    const std::vector<send>& all = sends_[endpoint];
     std::size_t most = 0;
     for (auto first = all.begin(); first != all.end(); ++first) {
       const auto end =
-          std::ranges::lower_bound(first, all.end(), first->at + kWindow, {}, &arrival::at);
+          std::ranges::lower_bound(first, all.end(), first->at + kWindow, {}, &send::at);
       most = std::max(most, static_cast<std::size_t>(end - first));
     }
     return most;
   }
-  std::size_t TotalArrivals(std::size_t endpoint) const { return arrivals_[endpoint].size(); }
+  std::size_t TotalSends(std::size_t endpoint) const { return sends_[endpoint].size(); }
 
  private:
+  enum class request_kind : std::uint8_t {
+    /** When it ends, another request waits in its place. */
+    kWaiting,
+    kArriving,
+    /** The caller has received a part of the response. */
+    kBegunStream,
+  };
+  /** A request that looks for room at a time. */
   struct poll {
     time_point at;
     std::size_t daemon;
-    time_point since;
-    /** The caller has received a part of the response. */
-    bool has_begun;
-    /** No other request takes its place. */
-    bool is_single;
-    room_contention contention;
+    request_kind kind;
+    time_point arrived;
+    room_contention contention = {};
+
+    bool is_first() const { return at == arrived; }
     bool operator>(const poll& other) const { return at > other.at; }
   };
-  struct arrival {
+  struct send {
     time_point at;
     std::size_t daemon;
   };
@@ -138,23 +146,23 @@
     pick_request wanted;
     wanted.service = "s";
     wanted.entropy = random_();
-    wanted.contenders = now.is_single && now.at == now.since
+    wanted.contenders = now.kind == request_kind::kArriving && now.is_first()
                             ? CountArrivingContenders(kDaemons, arrivals_per_second_ / kDaemons)
                             : CountWaitingContenders(kDaemons, waiting_at_[now.daemon]);
-    wanted.has_begun = now.has_begun;
+    wanted.has_begun = now.kind == request_kind::kBegunStream;
     wanted.waited = now.contention.Age(now.at);
     const pick_result pick = picker_.Pick(now.at, registry, wanted);
-    if (pick.chosen && (pick.has_capacity || now.has_begun)) {
+    if (pick.chosen && (pick.has_capacity || wanted.has_begun)) {
       pick.chosen->limit.RecordSend(now.at);
-      arrivals_[std::stoul(pick.chosen->entry.id.substr(1))].push_back({now.at, now.daemon});
-      moved_streams_ += now.has_begun ? 1 : 0;
+      sends_[std::stoul(pick.chosen->entry.id.substr(1))].push_back({now.at, now.daemon});
+      moved_streams_ += wanted.has_begun ? 1 : 0;
       return std::nullopt;
     }
-    const duration age = now.at - now.since;
+    const duration age = now.at - now.arrived;
     const waiting_request request{.age = age,
                                   .latency_objective = kObjective,
                                   .remaining = seconds(30),
-                                  .pause = now.has_begun ? std::optional(age) : std::nullopt};
+                                  .pause = wanted.has_begun ? std::optional(age) : std::nullopt};
     const double point = std::uniform_real_distribution<>(0, 1)(random_);
     overload_decision decision;
     if (pick.chosen) {
@@ -169,10 +177,9 @@
   }
 
   std::uint32_t PeerSends(std::size_t endpoint, const poll& now) const {
-    const auto& all = arrivals_[endpoint];
-    const auto first =
-        std::ranges::lower_bound(all, now.at - kWindow + duration(1), {}, &arrival::at);
-    return static_cast<std::uint32_t>(std::count_if(first, all.end(), [&](const arrival& sent) {
+    const auto& all = sends_[endpoint];
+    const auto first = std::ranges::lower_bound(all, now.at - kWindow + duration(1), {}, &send::at);
+    return static_cast<std::uint32_t>(std::count_if(first, all.end(), [&](const send& sent) {
       return sent.daemon != now.daemon && sent.at + kReportDelay <= now.at;
     }));
   }
@@ -182,7 +189,7 @@
   std::vector<std::size_t> waiting_at_;
   std::vector<endpoint_registry> registries_;
   endpoint_picker picker_;
-  std::vector<std::vector<arrival>> arrivals_;
+  std::vector<std::vector<send>> sends_;
   std::size_t moved_streams_ = 0;
   time_point full_until_;
   double arrivals_per_second_ = 0;
@@ -199,8 +206,8 @@
       fleet.Play(waiting, kTime);
       std::size_t total = 0;
       for (std::size_t endpoint = 0; endpoint < kEndpoints; ++endpoint) {
-        EXPECT_LE(fleet.MaxArrivals(endpoint), kMaxArrivals) << waiting << " seed " << seed;
-        total += fleet.TotalArrivals(endpoint);
+        EXPECT_LE(fleet.MaxSendsInWindow(endpoint), kAllowed) << waiting << " seed " << seed;
+        total += fleet.TotalSends(endpoint);
       }
       EXPECT_GE(static_cast<double>(total), 0.7 * kPerSecond * kEndpoints * kTime.count())
           << waiting << " seed " << seed;
@@ -217,7 +224,7 @@
       fleet.MoveStreams(streams, kStart + seconds(10));
       fleet.Play(/*waiting=*/100, seconds(20));
       for (std::size_t endpoint = 0; endpoint < kEndpoints; ++endpoint) {
-        EXPECT_LE(fleet.MaxArrivals(endpoint), kMaxArrivals) << streams << " seed " << seed;
+        EXPECT_LE(fleet.MaxSendsInWindow(endpoint), kAllowed) << streams << " seed " << seed;
       }
       // The endpoints take two more requests each for streams.
       const double moved = static_cast<double>(fleet.moved_streams());
@@ -236,7 +243,7 @@
       fleet.SetFullUntil(kStart + seconds(4));
       fleet.Play(waiting, seconds(12));
       for (std::size_t endpoint = 0; endpoint < kEndpoints; ++endpoint) {
-        EXPECT_LE(fleet.MaxArrivals(endpoint), kMaxArrivals) << waiting << " seed " << seed;
+        EXPECT_LE(fleet.MaxSendsInWindow(endpoint), kAllowed) << waiting << " seed " << seed;
       }
     }
   }
@@ -253,8 +260,8 @@
       fleet.Play(/*waiting=*/0, kTime);
       std::size_t total = 0;
       for (std::size_t endpoint = 0; endpoint < kEndpoints; ++endpoint) {
-        EXPECT_LE(fleet.MaxArrivals(endpoint), kMaxArrivals) << per_second << " seed " << seed;
-        total += fleet.TotalArrivals(endpoint);
+        EXPECT_LE(fleet.MaxSendsInWindow(endpoint), kAllowed) << per_second << " seed " << seed;
+        total += fleet.TotalSends(endpoint);
       }
       EXPECT_GE(static_cast<double>(total), 0.7 * kPerSecond * kEndpoints * kTime.count())
           << per_second << " seed " << seed;
