Add a failing test for an answered part that crashes five endpoints at once

What endpoints would see (BUDGET): a prompt part that was answered before crashes five endpoints within 0.4 s and then one every two seconds. Four requests with it reach endpoints later than three seconds after the fifth crash; three are allowed.

Cause: for a part that was answered before, crashes within 500 ms count as one, since the loss of many endpoints at once ends many requests with a popular part, and six are needed. The burst counts as one, and the sixth comes ten seconds later.

--- a/tests/routing/crash_quarantine_test.cc
+++ b/tests/routing/crash_quarantine_test.cc
@@ -144,6 +144,25 @@
   EXPECT_TRUE(IsQuarantined(kMiddle));
 }
 
+// Guards against a part that was sound, crashes five endpoints at once and then one after the
+// other.
+TEST_F(crash_quarantine_test, AnsweredPartThatCrashesFiveAtOnceReachesFewMore) {
+  constexpr seconds kContactTime{3};
+  constexpr int kMaxFurtherSends = 3;
+  Answer(1, kMiddle);
+  for (std::uint64_t i = 0; i < 5; ++i) {
+    Crash(10 + i, kMiddle);
+  }
+  const milliseconds fifth_crash = time;
+  int further_sends = 0;
+  for (std::uint64_t i = 0; i < 10 && !IsQuarantined(kMiddle); ++i) {
+    time += seconds(2);
+    further_sends += time > fifth_crash + kContactTime ? 1 : 0;
+    Crash(20 + i, kMiddle);
+  }
+  EXPECT_LE(further_sends, kMaxFurtherSends);
+}
+
 // Guards against refusing requests for ever, and against records that two daemons revive in turn.
 TEST_F(crash_quarantine_test, RecordsExpireAtAllDaemons) {
   Crash(1, kMiddle);
