Review: case 1, an offered upgrade delivers answers to other callers

Cause: a request with Connection: Upgrade is answered with 400 after its handler has started; the handler keeps a pointer to the freed connection and writes the endpoint's response into the connection that is allocated there next.

Change: review/1 shows it with a script against stand-ins of the store, the endpoints and the callers (review/standins).

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if a client gets the answer of another request, 0 if not, 2 if the case can't run.
+cd "$(dirname "$0")" || exit 2
+exec python3 play.py
