Review: case 4, refusals of HEAD requests spoil the next answer

Cause: the gateway's own responses carry a JSON body also when the request's method is HEAD, so that the caller reads the body as the beginning of the next response on a kept connection.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -76,7 +76,8 @@
 
     @property
     def status(self):
-        return int(self.first.split(" ")[1])
+        """@return the status, or 0 if the first line is no status line of HTTP."""
+        return int(self.first.split(" ")[1]) if self.first.startswith("HTTP/1.1 ") else 0
 
 
 async def read_head(reader):
@@ -274,7 +275,10 @@
             headers = [("Attempt-Id", run_id), ("Response-Signature", f"sig.{run_id}"),
                        ("Server-Load", f"{self.running},0,{self.slots}"),
                        ("Content-Type", "text/plain"), ("Instance-Id", self.name)]
-            writer.write(format_answer(200, "OK", headers, self.make_body(request)))
+            answer = format_answer(200, "OK", headers, self.make_body(request))
+            if request.first.startswith("HEAD "):
+                answer = answer[:answer.index(b"\r\n\r\n") + 4]
+            writer.write(answer)
             self.fleet.record.add("worker_answered", worker=self.name, id=run_id)
             await writer.drain()
 
@@ -393,6 +397,7 @@
         self.passed_on = set()
         self.routes = routes
         self.services = services
+        self.keys = dict(KEYS)
         self.config_version = 0
         self.store = None
         self.workers = []
@@ -414,7 +419,7 @@
         self.store.put("op", "config", {
             "version": self.config_version, "routes": self.routes, "services": self.services,
             "limits": LIMITS,
-            "tenants": [{"name": name, "api-keys": [key]} for name, key in KEYS.items()]})
+            "tenants": [{"name": name, "api-keys": [key]} for name, key in self.keys.items()]})
         self.record.add("config_acknowledged", version=self.config_version)
 
     async def add_worker(self, name, service, zone, kind=Worker, **options):
@@ -491,11 +496,15 @@
         self.fleet.record.add("sent", client=self.name, gateway=self.gateway.name, id=request_id)
         self.writer.write(data)
 
-    async def answer(self, timeout_s):
+    async def answer(self, timeout_s, to_head=False):
         """@return the next answer, or None if the connection ended without a whole one."""
         try:
             head = await asyncio.wait_for(read_head(self.reader), timeout_s)
-            await asyncio.wait_for(read_body(self.reader, head), timeout_s)
+            if not head.first.startswith("HTTP/1.1 "):
+                self.fleet.record.add("no_http_answer", client=self.name, line=repr(head.first))
+                return head
+            if not to_head:
+                await asyncio.wait_for(read_body(self.reader, head), timeout_s)
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             self.fleet.record.add("closed", client=self.name, error=type(error).__name__)
             return None
