Review: case 5, an id that is not ASCII stops the feed of endpoints

Cause: the call that copies a leaving endpoint's KV cache throws for a request id that is not UTF-8. The exception ends the handler of the endpoint feed, which then makes no further call.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -112,7 +112,7 @@
     head = f"HTTP/1.1 {status} {reason}\r\n"
     head += "".join(f"{name}: {value}\r\n" for name, value in headers)
     head += f"Content-Length: {len(body)}\r\n\r\n"
-    return head.encode() + body
+    return head.encode("latin-1") + body
 
 
 class Server:
@@ -284,7 +284,10 @@
 
 
 class Engine(Worker):
-    """A model worker: streams `events` events, and rejects a request larger than its memory."""
+    """A model worker: streams `events` events, and rejects a request larger than its memory.
+
+    It has no room for copies of runs.
+    """
 
     EVENT_S = 0.03
 
@@ -293,6 +296,15 @@
         self.memory = memory
         self.events = events
 
+    async def on_connection(self, reader, writer):
+        while True:
+            request = await read_body(reader, await read_head(reader))
+            if "/tarragondyke/" in request.first:
+                writer.write(format_answer(503, "Unavailable", [], b"{}"))
+                continue
+            self.fleet.on_passed_on(self, request)
+            await self.run(request, writer)
+
     async def run(self, request, writer):
         run_id = request.get("Attempt-Id")
         same = [("Attempt-Id", run_id), ("Server-Load", f"{self.running},0,{self.slots},100")]
@@ -311,9 +323,9 @@
             head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             head += f"Response-Signature: sig.{run_id}\r\nTransfer-Encoding: chunked\r\n"
             head += "".join(f"{name}: {value}\r\n" for name, value in same)
-            writer.write(head.encode() + b"\r\n")
+            writer.write(head.encode("latin-1") + b"\r\n")
             for event in range(int(request.get("Last-Event-Id") or 0) + 1, self.events + 1):
-                text = f"id: {event}\ndata: {run_id} {event}\n\n".encode()
+                text = f"id: {event}\ndata: {run_id} {event}\n\n".encode("latin-1")
                 writer.write(f"{len(text):x}\r\n".encode() + text + b"\r\n")
                 await asyncio.sleep(self.EVENT_S)
                 if writer.is_closing():
@@ -394,6 +406,7 @@
         self.hosts = itertools.count(10)
         self.ids = itertools.count(1)
         self.runs = {}
+        self.run_times = []
         self.passed_on = set()
         self.routes = routes
         self.services = services
@@ -449,6 +462,7 @@
     def on_run(self, worker, request):
         run_id = request.get("Attempt-Id")
         self.runs.setdefault(run_id, []).append(worker.name)
+        self.run_times.append((run_id, worker.name, time.monotonic()))
         self.record.add("run", worker=worker.name, id=run_id, tenant=request.get("Tenant"),
                         target=request.first.split(" ")[1])
 
