--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -538,9 +538,15 @@
     """Runs `play(fleet_folder, trouble)`, which returns whether the rule held."""
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(play(case_folder, trouble), 115)
+
     try:
-        held = asyncio.run(asyncio.wait_for(play(case_folder, trouble), 115))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        held = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         leave(2)
     print("the rule held" if held else "the rule was broken")
