--- a/review/2/play.py
+++ b/review/2/play.py
@@ -13,8 +13,8 @@
 SERVICE = "roster-app"
 ZONES = ("centru-a", "centru-b", "centru-c")
 PLAY_S = 95
-FREEZE_S = 0.5
-CALLERS = 60
+FREEZE_S = 0.45
+CALLERS = 80
 
 
 async def play(folder, trouble):
@@ -46,7 +46,7 @@
                     client = await Client(fleet, gateway, f"c{number}").connect()
                 else:
                     answers[request_id] = answer.status
-                await asyncio.sleep(random.uniform(0.02, 0.3))
+                await asyncio.sleep(random.uniform(0.02, 0.25))
             client.close()
 
         stop = asyncio.Event()
