Ignore offered upgrades before a request is started

Callers that offered an upgrade (Connection: Upgrade) got 400 though their request ran, and the answer of its endpoint went to the next caller of the gateway (MIXED), or the gateway ended with a segmentation fault.

Cause: message_reader reported the end of the request to its listener, which started it, and afterwards reported the same message as malformed because of the upgrade. RejectRequest then dropped the running handler without telling it, so that it kept a pointer to a connection that was freed.

Change: the end of the head decides, before the listener is told. Upgrades that a request offers are ignored (RFC 9110, 7.8); CONNECT and status 101 are rejected without a listener call. An invariant in RejectRequest states that no request is running.

Before: OfferedUpgradeIsIgnored and ProtocolSwitchIsRejectedBeforeItsHead fail (kMalformed after a complete message), and gateway_test ends with SIGSEGV (status 139) in RequestThatOffersAnUpgradeGetsItsOwnAnswer.

--- a/include/tarragon/http/message_reader.h
+++ b/include/tarragon/http/message_reader.h
@@ -42,7 +42,7 @@
 
 enum class reader_error : std::uint8_t {
   kNone,
-  /** The bytes are not a valid HTTP/1.1 message. */
+  /** The bytes are not a valid HTTP/1.1 message, or switch to another protocol. */
   kMalformed,
   kHeaderTooLarge,
 };
@@ -61,7 +61,8 @@
   void ExpectNoBody();
 
   /**
-   * Parses bytes up to the end of one message.
+   * Parses bytes up to the end of one message. A message that the listener has seen end is valid:
+   * an error concerns the message after it.
    * @return number of bytes consumed; less than `bytes.size()` if the message ended or is invalid.
    */
   std::size_t Feed(std::string_view bytes);
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "tarragon/base/invariant.h"
 #include "tarragon/gateway/socket_options.h"
 
 namespace tarragon::gateway {
@@ -155,6 +156,7 @@
 }
 
 void caller_connection::RejectRequest(int status) {
+  TARRAGON_INVARIANT(!handler_, "a request that has been started was rejected as unread");
   keep_alive_ = false;
   close_after_write_ = true;
   http::header_list headers;
--- a/src/http/message_reader.cc
+++ b/src/http/message_reader.cc
@@ -101,10 +101,24 @@
          parser.content_length != std::numeric_limits<std::uint64_t>::max();
 }
 
+/** @return whether the bytes after the head are in another protocol. */
+bool SwitchesProtocol(const http_parser& parser) {
+  constexpr unsigned kSwitchingProtocols = 101;
+  return parser.type == HTTP_REQUEST ? parser.method == HTTP_CONNECT
+                                     : parser.status_code == kSwitchingProtocols;
+}
+
 int OnHeadersComplete(http_parser* parser) {
+  constexpr int kContinue = 0;
   constexpr int kSkipBody = 1;
+  constexpr int kReject = -1;
   reader_state& state = GetState(parser);
   state.FinishHeader();
+  if (SwitchesProtocol(*parser)) {
+    return kReject;
+  }
+  // An upgrade that a request offers may be ignored (RFC 9110, 7.8).
+  parser->upgrade = 0;
   message_head& head = state.head;
   if (parser->type == HTTP_REQUEST) {
     head.method = http_method_str(static_cast<http_method>(parser->method));
@@ -115,7 +129,7 @@
       parser->http_major > 1 || (parser->http_major == 1 && parser->http_minor > 0);
   head.has_delimited_body = state.expect_no_body || HasDelimitedBody(*parser);
   state.listener.OnHead(std::exchange(head, {}));
-  return state.expect_no_body ? kSkipBody : 0;
+  return state.expect_no_body ? kSkipBody : kContinue;
 }
 
 int OnBody(http_parser* parser, const char* at, std::size_t length) {
@@ -173,8 +187,7 @@
   const std::size_t consumed =
       http_parser_execute(&parser, &Callbacks(), bytes.data(), bytes.size());
   const auto code = HTTP_PARSER_ERRNO(&parser);
-  const bool is_upgrade = parser.upgrade != 0;
-  if ((code != HPE_OK && code != HPE_PAUSED) || is_upgrade) {
+  if (code != HPE_OK && code != HPE_PAUSED) {
     const bool too_large = code == HPE_HEADER_OVERFLOW;
     if (state_->error == reader_error::kNone) {
       state_->error = too_large ? reader_error::kHeaderTooLarge : reader_error::kMalformed;
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -132,6 +132,21 @@
   EXPECT_THAT(caller.received(), HasSubstr("HTTP/1.1 400"));
 }
 
+// Guards against an answer that goes to the next caller of the gateway: a request that offered an
+// upgrade got 400 and ran, and its handler outlived its connection.
+TEST_F(caller_connection_test, RequestThatOffersAnUpgradeGetsItsOwnAnswer) {
+  scripted_endpoint endpoint(loop, [](auto& c) { c.Send(kOkResponse); });
+  ListEndpoint("e1", "calls", endpoint.address());
+  raw_caller caller = Connect();
+  caller.Send(Request("POST", "/unsafe/1",
+                      "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+                      "HTTP2-Settings: AAMAAABkAAQAoAAAAAIAAAAA\r\nContent-Length: 2\r\n\r\nab"));
+  ASSERT_TRUE(RunUntil([&] { return caller.received().find("fine") != std::string::npos; }));
+  EXPECT_THAT(caller.received(), testing::StartsWith("HTTP/1.1 200"));
+  EXPECT_FALSE(caller.ended());
+  EXPECT_EQ(endpoint.connections.at(0)->received().find("Upgrade"), std::string::npos);
+}
+
 // Guards against callers that keep using a connection to a process that is about to exit.
 TEST_F(caller_connection_test, DrainingGatewayClosesAfterTheResponse) {
   scripted_endpoint endpoint(loop, [](auto& c) { c.Send(kOkResponse); });
--- a/tests/http/message_reader_test.cc
+++ b/tests/http/message_reader_test.cc
@@ -114,6 +114,37 @@
   EXPECT_TRUE(received.messages[0].ended);
 }
 
+// Guards against a request that is started and then rejected because it offers an upgrade.
+TEST(MessageReaderTest, OfferedUpgradeIsIgnored) {
+  recorder received;
+  message_reader reader(message_kind::kRequest, received, kMaxHeader);
+  FeedAll(reader,
+          "POST /a HTTP/1.1\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+          "Content-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\nConnection: Upgrade\r\n"
+          "Upgrade: h2c\r\n\r\nGET /c HTTP/1.1\r\n\r\n",
+          512);
+  EXPECT_EQ(reader.error(), reader_error::kNone);
+  ASSERT_EQ(received.messages.size(), 3U);
+  EXPECT_EQ(received.messages[0].body, "abc");
+  EXPECT_EQ(received.messages[1].head.target, "/b");
+  EXPECT_EQ(received.messages[2].head.target, "/c");
+}
+
+// Guards against a message that its listener gets as complete and the reader then rejects.
+TEST(MessageReaderTest, ProtocolSwitchIsRejectedBeforeItsHead) {
+  recorder requests;
+  message_reader request_reader(message_kind::kRequest, requests, kMaxHeader);
+  FeedAll(request_reader, "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", 512);
+  EXPECT_EQ(request_reader.error(), reader_error::kMalformed);
+  EXPECT_TRUE(requests.messages.empty());
+  recorder responses;
+  message_reader response_reader(message_kind::kResponse, responses, kMaxHeader);
+  FeedAll(response_reader,
+          "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n", 512);
+  EXPECT_EQ(response_reader.error(), reader_error::kMalformed);
+  EXPECT_TRUE(responses.messages.empty());
+}
+
 // Guards against a crash or an endless loop on bytes that are not HTTP.
 RC_GTEST_PROP(MessageReaderTest, HandlesArbitraryBytes, (const std::string& bytes)) {
   recorder received;
