Check that a connect is still pending when its timeout is handled

Unsafe requests ran at two endpoints if their gateway was suspended for longer than the connect timeout while it connected (TWICE).

Cause: after the pause one poll returns both the finished connect and the expired timer. The connect's handler sends the request and cancels the timer, which has no effect on a handler that is queued already; that one reports kConnectFailed, which is taken as "not run".

Change: the exchange records that it is connected, and the handler of the timer checks it. If the timer's handler runs first, the exchange is cancelled before anything is sent, as before.

Ruled out: an endpoint that accepts late, since the request's bytes had been sent on the first connection.

--- a/include/tarragon/gateway/http_exchange.h
+++ b/include/tarragon/gateway/http_exchange.h
@@ -83,6 +83,7 @@
   http::message_reader reader_;
   std::string request_;
   std::array<char, kReadBytes> buffer_{};
+  bool connected_ = false;
   bool informational_ = false;
   bool ended_ = false;
 };
--- a/src/gateway/http_exchange.cc
+++ b/src/gateway/http_exchange.cc
@@ -33,7 +33,8 @@
   SetConnectionOptions(socket_);
   connect_timer_.expires_after(kConnectTimeout);
   connect_timer_.async_wait([self = shared_from_this()](const asio::error_code& code) {
-    if (!code) {
+    // After a pause of the process, this handler may have been queued before the cancellation.
+    if (!code && !self->connected_) {
       self->Fail(exchange_error::kConnectFailed);
     }
   });
@@ -46,6 +47,7 @@
       self->Fail(exchange_error::kConnectFailed);
       return;
     }
+    self->connected_ = true;
     self->Send();
     self->Read();
   });
