Ignore the timeout of an earlier store call

After a pause of the process, the timeout of a call that was cancelled in the same pass of the loop ended the next call, so that a table counted as lost.

Change: the handler compares the number of the call.

Before: TimeoutOfACancelledCallDoesNotEndTheNextOne fails (unavailable). After: it passes.

--- a/src/gateway/store_connection.cc
+++ b/src/gateway/store_connection.cc
@@ -31,8 +31,9 @@
   request_ += "\r\n";
   request_ += call.body;
   timer_.expires_after(timeout);
-  timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
-    if (!error && *alive && done_) {
+  timer_.async_wait([this, number = call_number_, alive = alive_](const asio::error_code& error) {
+    // The handler of an earlier call may have been queued before its cancellation.
+    if (!error && *alive && done_ && number == call_number_) {
       Fail();
     }
   });
