Ignore a wait of an earlier run of a table watcher

If a watcher is stopped and started again in the pass of the loop in which its wait ends, the queued handler makes a second call beside the pending one. store_connection takes that as a failed invariant and ends the process.

Change: the handler compares the number of the run.

Before: WaitThatEndedBeforeARestartMakesNoCall counts 3 calls instead of 2. After: it passes.

--- a/include/tarragon/gateway/table_watcher.h
+++ b/include/tarragon/gateway/table_watcher.h
@@ -86,6 +86,8 @@
   bool connected_ = false;
   bool outage_reported_ = false;
   bool running_ = false;
+  /** Number of calls of `Start` that took effect. */
+  std::uint64_t run_number_ = 0;
   std::chrono::milliseconds backoff_;
   std::vector<table_row> page_rows_;
   std::optional<table_position> page_position_;
--- a/src/gateway/table_watcher.cc
+++ b/src/gateway/table_watcher.cc
@@ -40,6 +40,7 @@
   if (std::exchange(running_, true)) {
     return;
   }
+  ++run_number_;
   connected_ = false;
   backoff_ = options_.initial_backoff;
   version_ = std::max(version_, known_version);
@@ -67,8 +68,9 @@
 
 void table_watcher::ScheduleAfter(std::chrono::milliseconds delay, void (table_watcher::*next)()) {
   timer_.expires_after(delay);
-  timer_.async_wait([this, next](const asio::error_code& error) {
-    if (!error && running_) {
+  timer_.async_wait([this, next, run = run_number_](const asio::error_code& error) {
+    // A wait of an earlier run may have ended before its cancellation.
+    if (!error && running_ && run == run_number_) {
       (this->*next)();
     }
   });
--- a/tests/gateway/table_watcher_test.cc
+++ b/tests/gateway/table_watcher_test.cc
@@ -4,7 +4,10 @@
 #include <gtest/gtest.h>
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -118,5 +121,25 @@
   EXPECT_NE(channel.targets.at(1).find("after=9"), std::string::npos);
 }
 
+// Guards against a second call beside a pending one, which ends the process: after a pause of the
+// process, a wait may have ended before the watcher was stopped and started again.
+TEST_F(table_watcher_test, WaitThatEndedBeforeARestartMakesNoCall) {
+  channel.results = {store::store_error::kUnavailable};
+  watch_options options;
+  options.initial_backoff = options.max_backoff = std::chrono::milliseconds(20);
+  table_watcher watcher(loop, adapter, channel, "t", listener, options, 1);
+  watcher.Start(0);
+  loop.poll();
+  asio::steady_timer earlier(loop, std::chrono::milliseconds(1));
+  earlier.async_wait([&](const asio::error_code&) {
+    watcher.Stop();
+    watcher.Start(0);
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(40));
+  loop.restart();
+  loop.run();
+  EXPECT_EQ(channel.targets.size(), 2U);
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
