Ignore the timeout of an earlier write of a relay connection

After a pause of more than three seconds, the timeout of a finished write closed a sound connection between daemons on which the next write had begun.

Change: the handler compares the number of the write.

Before: TimeoutOfAFinishedWriteDoesNotEndTheNextOne sees the connection closed. After: it passes.

--- a/include/tarragon/gateway/relay_connection.h
+++ b/include/tarragon/gateway/relay_connection.h
@@ -6,6 +6,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -60,6 +61,7 @@
   std::array<char, 16384> buffer_{};
   std::string pending_;
   bool writing_ = false;
+  std::uint64_t write_number_ = 0;
   bool open_ = false;
 };
 
--- a/src/gateway/relay_connection.cc
+++ b/src/gateway/relay_connection.cc
@@ -66,12 +66,15 @@
   writing_ = true;
   pending_ = EncodeFrame(message);
   write_timer_.expires_after(kWriteTimeout);
-  write_timer_.async_wait([self = weak_from_this()](const asio::error_code& error) {
-    const auto alive = self.lock();
-    if (alive && !error && alive->writing_ && alive->listener_ != nullptr) {
-      alive->Fail();
-    }
-  });
+  write_timer_.async_wait(
+      [self = weak_from_this(), write = ++write_number_](const asio::error_code& error) {
+        const auto alive = self.lock();
+        // The handler of an earlier write may have been queued before its cancellation.
+        const bool is_pending = alive && alive->writing_ && alive->write_number_ == write;
+        if (is_pending && !error && alive->listener_ != nullptr) {
+          alive->Fail();
+        }
+      });
   asio::async_write(socket_, asio::buffer(pending_),
                     [self = shared_from_this()](const asio::error_code& error, std::size_t) {
                       self->writing_ = false;
