--- a/tests/platform/table_platform_test.cc
+++ b/tests/platform/table_platform_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cstdint>
+#include <limits>
 #include <string>
 
 #include "base64.h"
@@ -108,6 +110,22 @@
   EXPECT_FALSE(kPlatform.ReadLoadReport(headers));
 }
 
+// Guards against undefined conversions of numbers that callers and endpoints may state.
+TEST(TablePlatformTest, BoundsStatedNumbers) {
+  constexpr std::uint32_t kMax = std::numeric_limits<std::uint32_t>::max();
+  http::header_list headers;
+  headers.Add("Token-Usage", "1e300,inf");
+  headers.Add("Length-Hint", "4294967296");
+  headers.Add("Server-Load", "-1,nan,5e9");
+  const gateway::generation_size size = kPlatform.ReadGenerationSize(headers);
+  EXPECT_EQ(size.prompt_tokens, kMax);
+  EXPECT_EQ(size.max_output_tokens, kMax);
+  EXPECT_EQ(size.expected_output_tokens, kMax);
+  EXPECT_EQ(kPlatform.ReadLoadReport(headers)->running, 0U);
+  EXPECT_EQ(kPlatform.ReadLoadReport(headers)->waiting, 0U);
+  EXPECT_EQ(kPlatform.ReadLoadReport(headers)->slots, kMax);
+}
+
 // Guards against crashes that are attributed to a wrong part of a prompt.
 TEST(TablePlatformTest, ReadsPromptParts) {
   http::header_list headers;
