Sum the tokens at an endpoint in 64 bits

Cause: sums of tokens in 32 bits wrapped at the second such request, so that an endpoint without room looked free and got a further one; the release of the first reservation then found less load than it had added.

Change: sizes and loads are summed in 64 bits. Messages between daemons keep their 32-bit fields, which saturate, so that daemons of both builds read each other.

Ruled out: a bound on the size of one request, since any number of them may be open.

--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -22,7 +22,7 @@
   /** Longest output that the caller allows. The prediction is often far too low. */
   std::uint32_t max_output_tokens = 0;
 
-  std::uint32_t tokens() const { return prompt_tokens + output_tokens; }
+  std::uint64_t tokens() const { return std::uint64_t{prompt_tokens} + output_tokens; }
 };
 
 /** Parameters of the score: the predicted time to the answer plus a penalty per drawback. */
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -35,13 +35,16 @@
   std::int64_t started_unix_ms = 0;
 };
 
-/** Load at an endpoint from the requests in flight of one or more daemons. */
+/**
+ * Load at an endpoint from the requests in flight of one or more daemons. Callers state sizes of up
+ * to 32 bits, so their sums take 64 bits.
+ */
 struct endpoint_load {
   std::uint32_t requests = 0;
   /** KV cache that the generations are predicted to need at their end, in tokens. */
-  std::uint32_t tokens = 0;
+  std::uint64_t tokens = 0;
   /** Prompt tokens still to be prefilled: those of generations without a first event. */
-  std::uint32_t unread_tokens = 0;
+  std::uint64_t unread_tokens = 0;
   /** Streams that may be long and have a pause objective. */
   std::uint32_t long_streams = 0;
 
--- a/src/gateway/load_serialization.h
+++ b/src/gateway/load_serialization.h
@@ -1,17 +1,29 @@
 #ifndef TARRAGON_SRC_GATEWAY_LOAD_SERIALIZATION_H_
 #define TARRAGON_SRC_GATEWAY_LOAD_SERIALIZATION_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <optional>
 
 #include "tarragon/routing/peer_loads.h"
 
 namespace tarragon::routing {
 
+/** Messages hold 32 bits for each figure, more than any engine's memory. */
+inline std::uint32_t Saturate(std::uint64_t value) {
+  constexpr std::uint64_t kMax = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(value, kMax));
+}
+
 template <class Archive>
 void serialize(Archive& archive, endpoint_load& load) {
-  archive(load.requests, load.tokens, load.unread_tokens, load.long_streams);
+  std::uint32_t tokens = Saturate(load.tokens);
+  std::uint32_t unread_tokens = Saturate(load.unread_tokens);
+  archive(load.requests, tokens, unread_tokens, load.long_streams);
+  load.tokens = tokens;
+  load.unread_tokens = unread_tokens;
 }
 
 /** Few endpoints have ever been limited, so that the others take a single byte. */
--- a/src/routing/load_reservation.cc
+++ b/src/routing/load_reservation.cc
@@ -29,7 +29,7 @@
 
 void load_reservation::OnPrefillDone() {
   if (target_) {
-    target_->own_load.unread_tokens -= std::exchange(load_.unread_tokens, 0U);
+    target_->own_load.unread_tokens -= std::exchange(load_.unread_tokens, 0);
   }
 }
 
--- a/tests/gateway/load_gossip_test.cc
+++ b/tests/gateway/load_gossip_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cstdint>
+#include <limits>
 #include <string>
 
 namespace tarragon::gateway {
@@ -31,6 +33,18 @@
   EXPECT_EQ(decoded->departures.at(0).row_version, 7U);
 }
 
+// Guards against a load that other daemons take for a small one because its sum needs over 32 bits.
+TEST(LoadGossipTest, LargestLoadsSaturate) {
+  constexpr std::uint64_t kMax = std::numeric_limits<std::uint32_t>::max();
+  routing::peer_report report;
+  report.daemon = "vm";
+  report.endpoints = {{1, {.requests = 2, .tokens = kMax + 3, .unread_tokens = kMax}, {}}};
+  const auto decoded = DecodeReport(EncodeReport(report));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->endpoints.at(0).load.tokens, kMax);
+  EXPECT_EQ(decoded->endpoints.at(0).load.unread_tokens, kMax);
+}
+
 // Guards against a crash on a truncated datagram or one from an unrelated sender.
 RC_GTEST_PROP(LoadGossipTest, InvalidDatagramsAreIgnored, (const std::string& bytes)) {
   routing::peer_report report;
--- a/tests/gateway/request_handler_test.cc
+++ b/tests/gateway/request_handler_test.cc
@@ -4,6 +4,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -69,6 +70,23 @@
   EXPECT_EQ(broken.connections.size(), 1U);
 }
 
+// Guards against ending the process: requests that state the largest output size wrapped the sum of
+// tokens at their engine, and the release of one of them failed an invariant.
+TEST_F(request_handler_test, LargestStatedOutputsEndNoProcess) {
+  constexpr std::uint32_t kLargestTokens = 1460 + 2147483647U;
+  scripted_endpoint engine(loop, [](auto& c) {
+    c.Send(MakeResponse("503 Service Unavailable", "", "Not-Executed: 1\r\n"));
+  });
+  ListEndpoint("e1", "engines", engine.address());
+  const std::vector<http::header> size = {{"Token-Usage", "1460,2147483647"}};
+  recording_response_writer second_response;
+  const auto first = Start("POST", "/report/1", "b", size);
+  gateway.endpoints.Find("e1")->peer_load = {.requests = 1, .tokens = kLargestTokens};
+  const auto second = Start("POST", "/report/1", "b", size, &second_response);
+  ASSERT_TRUE(RunUntil([&] { return response.done() && second_response.done(); }));
+  EXPECT_EQ(gateway.endpoints.Find("e1")->own_load, routing::endpoint_load{});
+}
+
 // Guards against relaying status 503, which promises that the request has not run, from an endpoint
 // that may have run it.
 TEST_F(request_handler_test, RefusalWithoutNotExecutedIsNotRelayed) {
