Accept generations while draining by the pace that was seen

Callers that sent a generation 3 to 6 s after SIGTERM lost it when the process ended 7.7 s after SIGTERM, if engines were slow (LOST). The users saw requests without a whole answer around SIGTERM; they named none of them.

Cause: a draining gateway took 11 ms a token from data sheets as the longest decode step. At engines of 30 ms it accepted what could not end in time.

Change: the bound is the slowest mean interval and first event that this daemon has seen within its last windows, or the slowest interval that others report for an engine in use, each with a margin; 30 ms a token if nothing is known.

--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "tarragon/routing/crash_quarantine.h"
 #include "tarragon/routing/endpoint_picker.h"
 #include "tarragon/routing/endpoint_registry.h"
+#include "tarragon/routing/generation_pace.h"
 #include "tarragon/routing/send_budget.h"
 #include "tarragon/routing/service_config.h"
 #include "tarragon/routing/store_clock.h"
@@ -45,6 +46,9 @@
   bool TakeBudget(const std::string& service);
   bool HasBudget(const std::string& service);
 
+  /** @return the pace of a service's generations that this daemon has seen. */
+  const routing::generation_pace& PaceOf(const std::string& service) const;
+
   /** @return time until the latest exit time of a draining process. */
   std::chrono::milliseconds TimeUntilExit() const;
 
@@ -68,6 +72,8 @@
   std::mt19937_64 random;
   /** Bytes of responses that are being received and are not relayed yet. */
   std::size_t buffered_response_bytes = 0;
+  /** Pace of the generations, by service. */
+  std::unordered_map<std::string, routing::generation_pace> paces;
   /** Requests that wait for an endpoint with capacity or room, by service. */
   std::unordered_map<std::string, std::size_t> waiting_requests;
   bool draining = false;
--- a/include/tarragon/routing/drain_policy.h
+++ b/include/tarragon/routing/drain_policy.h
@@ -2,14 +2,35 @@
 #define TARRAGON_ROUTING_DRAIN_POLICY_H_
 
 #include <chrono>
+#include <vector>
 
+#include "tarragon/base/clock.h"
 #include "tarragon/routing/endpoint_picker.h"
+#include "tarragon/routing/endpoint_registry.h"
+#include "tarragon/routing/generation_pace.h"
 #include "tarragon/routing/service_config.h"
 
 namespace tarragon::routing {
 
+/** Upper bounds on the times that a service's next generation takes. */
+struct pace_bounds {
+  /** From the send to the first event, without the prefill. */
+  duration start;
+  duration per_token;
+  /** Prefill of each prompt token. */
+  duration per_prompt_token;
+};
+
+/**
+ * @param pace what this daemon has seen of the service.
+ * @param engines all engines of the service, with what other daemons have seen of them.
+ */
+pace_bounds BoundPace(time_point now,
+                      const generation_pace& pace,
+                      const std::vector<endpoint_ptr>& engines);
+
 /** @return time from the send to the last event if a generation has the longest allowed output. */
-std::chrono::milliseconds MaxGenerationDuration(const work_size& size);
+std::chrono::milliseconds MaxGenerationDuration(const work_size& size, const pace_bounds& bounds);
 
 /**
  * @return whether a process that is shutting down should accept one more request. A request that
@@ -18,6 +39,7 @@
  */
 bool MayAcceptWhileDraining(const route& rule,
                             const work_size& size,
+                            const pace_bounds& bounds,
                             std::chrono::milliseconds remaining_time);
 
 }  // namespace tarragon::routing
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -32,6 +32,12 @@
   return Budget(service).Remaining(time.Now(), daemons) >= 1;
 }
 
+const routing::generation_pace& gateway_state::PaceOf(const std::string& service) const {
+  static const routing::generation_pace kUnknown;
+  const auto found = paces.find(service);
+  return found == paces.end() ? kUnknown : found->second;
+}
+
 std::chrono::milliseconds gateway_state::TimeUntilExit() const {
   return std::chrono::floor<std::chrono::milliseconds>(exit_at - time.Now());
 }
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -113,6 +113,14 @@
   return admitted;
 }
 
+bool CanFinishBeforeExit(const gateway_state& gateway, const admitted_request& admitted) {
+  const routing::pace_bounds bounds =
+      routing::BoundPace(gateway.time.Now(), gateway.PaceOf(admitted.service_name),
+                         gateway.endpoints.FindByService(admitted.service_name));
+  return routing::MayAcceptWhileDraining(*admitted.route, admitted.size, bounds,
+                                         gateway.TimeUntilExit());
+}
+
 }  // namespace
 
 std::variant<admitted_request, rejected_request> AdmitRequest(const gateway_state& gateway,
@@ -138,9 +146,7 @@
   if (gateway.quarantine.FindQuarantined(admitted.traits)) {
     return rejected_request{kUnavailable, "crashes_endpoints", kQuarantineRetryAfter};
   }
-  if (gateway.closing ||
-      (gateway.draining &&
-       !routing::MayAcceptWhileDraining(*route, admitted.size, gateway.TimeUntilExit()))) {
+  if (gateway.closing || (gateway.draining && !CanFinishBeforeExit(gateway, admitted))) {
     return rejected_request{kUnavailable, "draining", kDrainingRetryAfter};
   }
   return admitted;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -407,6 +407,12 @@
   const time_point now = gateway_.time.Now();
   const bool first_of_send = stream_.is_awaiting_first_event();
   const std::optional<duration> interval = stream_.RecordArrival(now, batch);
+  routing::generation_pace& pace = gateway_.paces[admitted_.service_name];
+  if (first_of_send) {
+    pace.RecordFirstEvent(now, now - sent_at_);
+  } else if (const auto mean = stream_.MeanInterval()) {
+    pace.RecordInterval(now, *mean);
+  }
   if (!interval) {
     first_event_delay_ = Age();
     gateway_.counters.Latency("tarragon_gateway_first_event_seconds")
--- a/src/gateway/stream_progress.cc
+++ b/src/gateway/stream_progress.cc
@@ -37,8 +37,20 @@
     longest_pause_ = std::max(longest_pause_, *interval);
   }
   last_arrival_ = now;
+  if (events_in_send_ == 0) {
+    first_arrival_in_send_ = now;
+  }
   events_in_send_ += batch.events;
   return interval;
 }
 
+std::optional<duration> stream_progress::MeanInterval() const {
+  constexpr std::uint64_t kMinEvents = 5;
+  if (events_in_send_ < kMinEvents) {
+    return std::nullopt;
+  }
+  return (*last_arrival_ - first_arrival_in_send_) /
+         static_cast<duration::rep>(events_in_send_ - 1);
+}
+
 }  // namespace tarragon::gateway
--- a/tests/emulator/caller.cc
+++ b/tests/emulator/caller.cc
@@ -9,9 +9,11 @@
 namespace {
 
 constexpr int kStatusOk = 200;
-/** Prompt and maximum output of a report in tokens: long enough for a backup. */
-constexpr std::string_view kReportUsage = "3000,2000";
-constexpr std::string_view kTagUsage = "800,50";
+/** Prompt and maximum output in tokens; those of a report are long enough for a backup. */
+constexpr std::uint64_t kReportPrompt = 3000;
+constexpr std::uint64_t kReportOutput = 2000;
+constexpr std::uint64_t kTagPrompt = 800;
+constexpr std::uint64_t kTagOutput = 50;
 
 }  // namespace
 
@@ -32,14 +34,22 @@
   return "/";
 }
 
-void caller::Send(const std::string& address) {
+std::string caller::RequestText() const {
   std::string request = fmt::format(
       "{} {} HTTP/1.1\r\nHost: fleet.example\r\nAttempt-Id: {}\r\nAuthorization: Token key\r\n"
       "Deadline-Ms: 20000\r\n",
       kind_ == call_kind::kRead ? "GET" : "POST", Path(), id_);
   if (is_stream()) {
-    request += fmt::format("Event-Count: {}\r\nToken-Usage: {}\r\n", events_,
-                           kind_ == call_kind::kReport ? kReportUsage : kTagUsage);
+    request += fmt::format("Event-Count: {}\r\n", events_);
+  }
+  if (is_stream() && states_size_) {
+    const bool is_report = kind_ == call_kind::kReport;
+    const std::uint64_t usual_output = is_report ? kReportOutput : kTagOutput;
+    request += fmt::format("Token-Usage: {},{}\r\n", is_report ? kReportPrompt : kTagPrompt,
+                           max_output_ > 0 ? max_output_ : usual_output);
+  }
+  if (extra_bytes_ > 0) {
+    request += fmt::format("Extra-Bytes: {}\r\n", extra_bytes_);
   }
   if (!prompt_parts_.empty()) {
     request += fmt::format("Prompt-Prefix: {}\r\n", prompt_parts_);
@@ -50,8 +60,12 @@
   } else {
     request += "\r\n";
   }
+  return request;
+}
+
+void caller::Send(const std::string& address) {
   exchange_ = std::make_shared<gateway::http_exchange>(loop_, *this);
-  exchange_->Start(address, std::move(request), /*no_response_body=*/false);
+  exchange_->Start(address, RequestText(), /*no_response_body=*/false);
 }
 
 void caller::Disconnect() {
@@ -70,7 +84,9 @@
 
 void caller::OnResponseEnd() {
   is_complete_ = is_done_ = true;
-  exchange_->Cancel();
+  if (exchange_) {
+    exchange_->Cancel();
+  }
 }
 
 void caller::OnExchangeError(gateway::exchange_error) {
@@ -93,7 +109,8 @@
     return "status 200 without the signature of an endpoint";
   }
   const std::string expected =
-      is_stream() ? ExpectedEvents(events_) : fmt::format("{} {}", id_, Path());
+      is_stream() ? ExpectedEvents(events_)
+                  : fmt::format("{} {}{}", id_, Path(), std::string(extra_bytes_, 'x'));
   if (is_complete_ && body_ != expected) {
     return fmt::format("the complete response differs from the expected one: {} bytes, expected {}",
                        body_.size(), expected.size());
--- a/tests/emulator/caller.h
+++ b/tests/emulator/caller.h
@@ -31,7 +31,15 @@
 
   /** Sets the header that states the parts of the prompt; empty for none. */
   void SetPromptParts(std::string parts) { prompt_parts_ = std::move(parts); }
-  /** @param address of a gateway. */
+  /** Asks a plain endpoint for this many bytes more in its answer. */
+  void SetExtraBytes(std::size_t bytes) { extra_bytes_ = bytes; }
+  /** The request states no size, so that its length is unknown. */
+  void OmitSize() { states_size_ = false; }
+  /** Sets the longest output that a stream's request states; 0 keeps the usual one of its kind. */
+  void SetMaxOutput(std::uint64_t tokens) { max_output_ = tokens; }
+  /** @return the serialized request. */
+  std::string RequestText() const;
+  /** Sends the request on a connection of its own. @param address of a gateway. */
   void Send(const std::string& address);
   /** Closes the connection before the response is complete. */
   void Disconnect();
@@ -66,6 +74,9 @@
   call_kind kind_;
   std::uint64_t events_;
   std::string prompt_parts_;
+  std::uint64_t max_output_ = 0;
+  std::size_t extra_bytes_ = 0;
+  bool states_size_ = true;
   std::shared_ptr<gateway::http_exchange> exchange_;
   int status_ = 0;
   bool has_signature_ = false;
--- a/tests/emulator/endpoint_emulator.cc
+++ b/tests/emulator/endpoint_emulator.cc
@@ -99,16 +99,18 @@
   const std::string id = request.Header("Attempt-Id");
   record_.RecordStart(id, options_.id, /*continued=*/false);
   auto timer = std::make_shared<asio::steady_timer>(loop_, options_.call_duration);
-  timer->async_wait([this, timer, id, path = request.Path(), response](const asio::error_code&) {
-    record_.RecordEnd(id, options_.id);
-    if (ChooseWithProbability(options_.faults.lost_responses)) {
-      response->Reset();
-      return;
-    }
-    const int status =
-        ChooseWithProbability(options_.faults.errors) ? kStatusServerError : kStatusOk;
-    response->SendWhole(status, ResponseHeaders(id), fmt::format("{} {}", id, path));
-  });
+  const std::string extra(ParseNumberOrZero(request.Header("Extra-Bytes")), 'x');
+  timer->async_wait(
+      [this, timer, id, path = request.Path(), extra, response](const asio::error_code&) {
+        record_.RecordEnd(id, options_.id);
+        if (ChooseWithProbability(options_.faults.lost_responses)) {
+          response->Reset();
+          return;
+        }
+        const int status =
+            ChooseWithProbability(options_.faults.errors) ? kStatusServerError : kStatusOk;
+        response->SendWhole(status, ResponseHeaders(id), fmt::format("{} {}{}", id, path, extra));
+      });
 }
 
 void endpoint_emulator::HandleGeneration(const incoming_request& request,
--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -95,6 +95,7 @@
   endpoint_options options;
   options.id = fmt::format("{}-{}", service, ++last_endpoint_);
   options.seed = random_();
+  options.event_interval = options_.event_interval;
   if (service == kPlain) {
     options.faults = options_.plain_faults;
   } else {
@@ -167,13 +168,18 @@
                                                     std::uint64_t events,
                                                     std::size_t gateway_index,
                                                     const std::string& prompt_parts) {
-  auto added = std::make_shared<caller>(loop_, fmt::format("{:016x}", random_()), kind, events);
+  const std::shared_ptr<caller> added = MakeRequest(kind, events);
   added->SetPromptParts(prompt_parts);
-  callers_.push_back(added);
   added->Send(gateway(gateway_index).callers_address());
   return added;
 }
 
+std::shared_ptr<caller> fleet_emulator::MakeRequest(call_kind kind, std::uint64_t events) {
+  callers_.push_back(
+      std::make_shared<caller>(loop_, fmt::format("{:016x}", random_()), kind, events));
+  return callers_.back();
+}
+
 void fleet_emulator::RunFor(std::chrono::milliseconds time) {
   loop_.restart();
   loop_.run_for(time);
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -27,6 +27,8 @@
   std::string crashing_part;
   /** Time after which a crashed engine is back as a new one. */
   std::chrono::milliseconds engine_restart{1500};
+  /** Time between two events of an engine's streams. */
+  std::chrono::milliseconds event_interval{5};
   std::uint64_t seed = 1;
 };
 
@@ -57,6 +59,8 @@
                                       std::uint64_t events,
                                       std::size_t gateway_index,
                                       const std::string& prompt_parts = {});
+  /** @return a request that is not sent yet, for `kept_connection`. */
+  std::shared_ptr<caller> MakeRequest(call_kind kind, std::uint64_t events);
   /** @return times at which engines crashed because of the crashing part. */
   const std::vector<time_point>& crashes() const { return crashes_; }
   time_point Now() const { return time_.Now(); }
--- a/tests/routing/drain_policy_test.cc
+++ b/tests/routing/drain_policy_test.cc
@@ -2,21 +2,27 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+
 namespace tarragon::routing {
 namespace {
 
 using std::chrono::milliseconds;
 
+constexpr time_point kNow{std::chrono::seconds(100)};
+constexpr pace_bounds kUsualPace{milliseconds(300), milliseconds(11),
+                                 std::chrono::microseconds(150)};
+
 // Guards against a process that accepts a report and ends before the report does. Seen on
 // dobrescu-gaz (mix --seed 662688481730), where the caller's estimate was far too low.
 TEST(DrainPolicyTest, AcceptsGenerationByItsMaxOutput) {
   route rule;
   rule.kind = repeat_kind::kStream;
   const work_size report{3000, 100, 2000};
-  EXPECT_FALSE(MayAcceptWhileDraining(rule, report, milliseconds(7700)));
+  EXPECT_FALSE(MayAcceptWhileDraining(rule, report, kUsualPace, milliseconds(7700)));
   const work_size short_answer{2200, 16, 52};
-  EXPECT_TRUE(MayAcceptWhileDraining(rule, short_answer, milliseconds(7700)));
-  EXPECT_FALSE(MayAcceptWhileDraining(rule, short_answer, milliseconds(500)));
+  EXPECT_TRUE(MayAcceptWhileDraining(rule, short_answer, kUsualPace, milliseconds(7700)));
+  EXPECT_FALSE(MayAcceptWhileDraining(rule, short_answer, kUsualPace, milliseconds(500)));
 }
 
 // Guards against a draining process that accepts a call it cannot finish, or refuses one that it
@@ -25,8 +31,31 @@
   route rule;
   rule.kind = repeat_kind::kUnsafe;
   rule.timeout = milliseconds(2000);
-  EXPECT_TRUE(MayAcceptWhileDraining(rule, {}, milliseconds(2500)));
-  EXPECT_FALSE(MayAcceptWhileDraining(rule, {}, milliseconds(1900)));
+  EXPECT_TRUE(MayAcceptWhileDraining(rule, {}, kUsualPace, milliseconds(2500)));
+  EXPECT_FALSE(MayAcceptWhileDraining(rule, {}, kUsualPace, milliseconds(1900)));
+}
+
+// Guards against a draining process that accepts a generation at engines too slow to finish it, as
+// their pace was taken from data sheets.
+TEST(DrainPolicyTest, BoundsThePaceByWhatWasSeen) {
+  generation_pace pace;
+  pace.RecordInterval(kNow, milliseconds(30));
+  pace.RecordFirstEvent(kNow, milliseconds(900));
+  const pace_bounds bounds = BoundPace(kNow + std::chrono::seconds(5), pace, {});
+  EXPECT_GE(bounds.per_token, milliseconds(30));
+  EXPECT_GE(bounds.start, milliseconds(900));
+  const work_size size{800, 50, 100};
+  EXPECT_LT(MaxGenerationDuration(size, kUsualPace), milliseconds(2000));
+  EXPECT_GT(MaxGenerationDuration(size, bounds), milliseconds(900 + 100 * 30));
+}
+
+// Guards against a daemon that has just started and takes engines for fast that others know as
+// slow.
+TEST(DrainPolicyTest, BoundsThePaceByWhatOthersSaw) {
+  const auto slow = std::make_shared<endpoint>();
+  slow->event_interval.SetPeerEstimate(milliseconds(40));
+  EXPECT_GE(BoundPace(kNow, {}, {slow}).per_token, milliseconds(40));
+  EXPECT_GT(BoundPace(kNow, {}, {}).per_token, kUsualPace.per_token);
 }
 
 }  // namespace
