Accept streams of unknown size while draining by their timeout

A stream whose request states no size counted as an empty generation, so that a draining gateway accepted it until 0.3 s before its end and then cut it off (LOST). Found while reproducing the losses around planned stops.

Change: without a stated size, the route's timeout must fit, as for calls.

Before: StreamWithoutSizeNeedsItsTimeout cannot pass: the duration of an empty size is 0.3 s. It was not run on the code before.

--- a/src/routing/drain_policy.cc
+++ b/src/routing/drain_policy.cc
@@ -72,7 +72,8 @@
                             const work_size& size,
                             const pace_bounds& bounds,
                             std::chrono::milliseconds remaining_time) {
-  if (rule.kind == repeat_kind::kStream) {
+  const bool has_known_size = size.max_output_tokens > 0;
+  if (rule.kind == repeat_kind::kStream && has_known_size) {
     return MaxGenerationDuration(size, bounds) < remaining_time;
   }
   return rule.timeout < remaining_time;
--- a/tests/routing/drain_policy_test.cc
+++ b/tests/routing/drain_policy_test.cc
@@ -58,5 +58,15 @@
   EXPECT_GT(BoundPace(kNow, {}, {}).per_token, kUsualPace.per_token);
 }
 
+// Guards against a stream of unknown length that is accepted until the process ends: its caller
+// states no size, and an empty size took no time.
+TEST(DrainPolicyTest, StreamWithoutSizeNeedsItsTimeout) {
+  route rule;
+  rule.kind = repeat_kind::kStream;
+  rule.timeout = milliseconds(4000);
+  EXPECT_FALSE(MayAcceptWhileDraining(rule, {}, kUsualPace, milliseconds(3900)));
+  EXPECT_TRUE(MayAcceptWhileDraining(rule, {}, kUsualPace, milliseconds(4100)));
+}
+
 }  // namespace
 }  // namespace tarragon::routing
