Wait for unsent answers before a planned exit, and check it again

Cause: the end of the process was decided from the number of open requests alone, in one pass of the loop, and executed in the next without looking again. A request that arrived in between was ended.

Change: connections with unsent bytes are counted, and the exit waits for them until the grace period ends; the posted exit checks again that the process is idle; an exit starts once.

Ruled out: SO_LINGER and the kernel's buffers, which outlive the process.

The second and third part were found by reading; no test failed because of them.

--- a/include/tarragon/gateway/caller_connection.h
+++ b/include/tarragon/gateway/caller_connection.h
@@ -55,6 +55,8 @@
   void OnResponseDone();
   void Write(std::string_view bytes);
   void Flush();
+  /** Keeps the gateway's count of connections with unsent bytes. */
+  void CountUnsent();
   void OnPeerClosed();
   void Close(bool reset);
   void ArmTimer();
@@ -85,6 +87,7 @@
   bool close_after_write_ = false;
   bool closed_ = false;
   bool consuming_ = false;
+  bool counted_as_unsent_ = false;
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -83,10 +83,12 @@
   time_point exit_at;
   /** Requests that have no final response yet. */
   std::unordered_set<request_handler*> open_requests;
+  /** Caller connections with response bytes that the kernel has not taken yet. */
+  std::size_t unsent_connections = 0;
   /** Called after a request has been sent to an endpoint. */
   std::function<void()> on_request_sent;
-  /** Called after a request has finished. */
-  std::function<void()> on_request_finished;
+  /** Called after a request has finished or a connection has sent all its response bytes. */
+  std::function<void()> on_work_done;
 
  private:
   /** Assumed until the daemon table has been read: more than existing fleets have. */
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -69,6 +69,8 @@
   if (handler_) {
     handler_->OnCallerGone();
   }
+  closed_ = true;
+  CountUnsent();
 }
 
 void caller_connection::Start() {
@@ -255,6 +257,7 @@
 }
 
 void caller_connection::Flush() {
+  CountUnsent();
   if (closed_ || !writing_.empty()) {
     return;
   }
@@ -279,6 +282,17 @@
                     });
 }
 
+void caller_connection::CountUnsent() {
+  const bool has_unsent = !closed_ && (!unsent_.empty() || !writing_.empty());
+  if (std::exchange(counted_as_unsent_, has_unsent) == has_unsent) {
+    return;
+  }
+  gateway_.unsent_connections += has_unsent ? 1 : -1;
+  if (!has_unsent && gateway_.on_work_done) {
+    gateway_.on_work_done();
+  }
+}
+
 void caller_connection::OnPeerClosed() {
   if (closed_) {
     return;
@@ -294,6 +308,7 @@
   if (std::exchange(closed_, true)) {
     return;
   }
+  CountUnsent();
   timer_.cancel();
   asio::error_code ignored;
   if (reset) {
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -173,7 +173,7 @@
       gossip.ScheduleReport();
       loads.ScheduleExchange();
     };
-    shared.on_request_finished = [this] { ExitIfIdle(); };
+    shared.on_work_done = [this] { ExitIfIdle(); };
     shared.quarantine.SetListener([this](const routing::request_trait& trait, bool is_own) {
       log.LogState("trait_quarantined", {{"trait", fmt::format("{:016x}", trait.id.value)},
                                          {"specificity", static_cast<int>(trait.specificity)},
@@ -341,18 +341,29 @@
     });
   }
 
+  /** @return whether the process has nothing left to do for its callers. */
+  bool IsIdle() const {
+    return shared.open_requests.empty() && shared.unsent_connections == 0 &&
+           time.Now() >= drain_started + kLoadBalancerRemovalTime;
+  }
+
   void ExitIfIdle() {
-    if (shared.draining && shared.open_requests.empty() &&
-        time.Now() >= drain_started + kLoadBalancerRemovalTime &&
-        !std::exchange(exit_posted, true)) {
-      // Responses that were just written need no wait: the kernel sends them from the socket
-      // buffers.
-      asio::post(loop, [this] { Exit(); });
+    if (!shared.draining || shared.closing || !IsIdle() || std::exchange(exit_posted, true)) {
+      return;
     }
+    asio::post(loop, [this] {
+      exit_posted = false;
+      // A request may have arrived in the same pass of the loop.
+      if (!shared.closing && IsIdle()) {
+        Exit();
+      }
+    });
   }
 
   void Exit() {
-    shared.closing = true;
+    if (std::exchange(shared.closing, true)) {
+      return;
+    }
     for (const auto& handler : OpenRequests()) {
       handler->EndForProcessExit();
     }
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -718,8 +718,8 @@
        {"longest_pause_ms",
         std::chrono::duration_cast<std::chrono::milliseconds>(stream_.longest_pause()).count()},
        {"age_ms", Age().count()}});
-  if (gateway_.on_request_finished) {
-    gateway_.on_request_finished();
+  if (gateway_.on_work_done) {
+    gateway_.on_work_done();
   }
 }
 
