--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -145,8 +145,9 @@
   return taken;
 }
 
-void fleet_emulator::ReplaceEngine(std::chrono::milliseconds notice) {
+std::string fleet_emulator::ReplaceEngine(std::chrono::milliseconds notice) {
   AddEndpoint(std::string(kEngines));
+  const std::string added = engines_.back()->id();
   stopped_.push_back(RemoveRandomEngine());
   endpoint_emulator* const leaving = stopped_.back().get();
   PublishEndpoint(*leaving, std::string(kEngines), /*leaving=*/true);
@@ -155,6 +156,7 @@
     leaving->Crash();
     store_.Remove("servers", leaving->id());
   });
+  return added;
 }
 
 void fleet_emulator::CrashEngine() {
--- a/tests/emulator/gateway_fleet_test.cc
+++ b/tests/emulator/gateway_fleet_test.cc
@@ -135,6 +135,43 @@
   EXPECT_EQ(fleet.DescribeViolations(), "");
 }
 
+// Guards against an odd row of another writer that ends the gateways, or after which they no longer
+// follow the list of endpoints (reported by operators of similar systems).
+TEST(GatewayFleetTest, FollowsTheListAfterOddRows) {
+  constexpr std::size_t kDepth = 20'000;
+  fleet_emulator fleet({});
+  ASSERT_TRUE(fleet.WaitUntilServing());
+  const std::vector<std::string> odd_rows = {
+      std::string(kDepth, '['),
+      std::string(kDepth, '[') + std::string(kDepth, ']'),
+      R"({"service":"engines","address":"127.0.0.1:99999","zone":"z","slots":8,"state":"ready"})",
+      R"({"service":"engines","address":"127.0.0.1:80","zone":"z","slots":1e999,"state":"ready"})",
+      "\xff\xfe",
+  };
+  for (std::size_t i = 0; i < odd_rows.size(); ++i) {
+    fleet.store().Put("servers", fmt::format("odd-{}", i), odd_rows[i]);
+    fleet.store().Put("servers", fmt::format("odd-\u00fc\n{}", i), odd_rows[i]);
+  }
+  const std::string newest = fleet.ReplaceEngine(milliseconds(300));
+  EXPECT_TRUE(fleet.RunUntil(
+      [&] {
+        return fleet.FindInLogs(fmt::format("endpoint_listed endpoint={} ", newest)).size() ==
+               fleet.gateway_count();
+      },
+      kTimeout));
+  std::vector<std::shared_ptr<caller>> reports;
+  for (std::size_t i = 0; i < 2 * fleet.gateway_count(); ++i) {
+    reports.push_back(
+        fleet.SendRequest(call_kind::kReport, kShortStreamEvents, i % fleet.gateway_count()));
+  }
+  EXPECT_TRUE(fleet.RunUntil([&] { return AllRequestsDone(fleet); }, kTimeout));
+  EXPECT_TRUE(std::ranges::all_of(reports, [](const auto& report) { return report->is_served(); }));
+  EXPECT_TRUE(fleet.FindInLogs("unexpected_error").empty());
+  for (std::size_t i = 0; i < fleet.gateway_count(); ++i) {
+    EXPECT_FALSE(fleet.gateway(i).HasExited());
+  }
+}
+
 /** @return whether all gateways but `except` have put the newest configuration in force. */
 bool NewestConfigIsInForce(const fleet_emulator& fleet, std::size_t except) {
   const std::vector<std::size_t> known =
--- a/tests/platform/table_platform_test.cc
+++ b/tests/platform/table_platform_test.cc
@@ -1,5 +1,6 @@
 #include "table_platform.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -62,9 +63,9 @@
 TEST(TablePlatformTest, RejectsRowsThatAreNotEndpoints) {
   for (const std::string_view text :
        {"", "{", "[]", "3", R"({"service":"s"})",
-        R"({"service":3,"address":"a","zone":"z","slots":2,"state":"ready"})",
-        R"({"service":"s","address":"a","zone":"z","slots":2,"state":"odd"})",
-        R"({"service":"s","address":"a","zone":"z","slots":2.5,"state":"ready"})"}) {
+        R"({"service":3,"address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready"})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":2,"state":"odd"})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":2.5,"state":"ready"})"}) {
     EXPECT_FALSE(kPlatform.DecodeEndpoint("i", text)) << text;
   }
 }
@@ -126,6 +127,33 @@
   EXPECT_EQ(kPlatform.ReadLoadReport(headers)->slots, kMax);
 }
 
+std::string EndpointRow(std::string_view address, std::string_view slots) {
+  return fmt::format(R"({{"service":"s","address":"{}","zone":"z","slots":{},"state":"ready"}})",
+                     address, slots);
+}
+
+// Guards against an odd row of another writer that ends the process, or that becomes an endpoint to
+// which no request can be sent (reported by operators of similar systems).
+TEST(TablePlatformTest, RejectsOddEndpoints) {
+  constexpr std::size_t kDepth = 1'000'000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  EXPECT_FALSE(kPlatform.DecodeEndpoint("i", nested));
+  EXPECT_FALSE(kPlatform.DecodeEndpoint("i", std::string(kDepth, '{')));
+  EXPECT_FALSE(kPlatform.DecodeEndpoint("i", EndpointRow("10.0.0.9:80", "1e999")));
+  EXPECT_FALSE(kPlatform.DecodeEndpoint("i", EndpointRow("10.0.0.9:80", "-1")));
+  for (const std::string_view address :
+       {"10.0.0.9:65536", "10.0.0.9:-1", "10.0.0.9:0", "10.0.0.9", "host:80", ":80", ""}) {
+    EXPECT_FALSE(kPlatform.DecodeEndpoint("i", EndpointRow(address, "8"))) << address;
+  }
+  const std::string with_nested = fmt::format(
+      R"({{"more":{},"service":"s","address":"10.0.0.9:80","zone":"z","slots":8,"state":"ready"}})",
+      nested);
+  EXPECT_TRUE(kPlatform.DecodeEndpoint("i", with_nested));
+  const auto largest = kPlatform.DecodeEndpoint("i", EndpointRow("10.0.0.9:80", "4294967297"));
+  ASSERT_TRUE(largest);
+  EXPECT_EQ(largest.value().slots, std::numeric_limits<std::uint32_t>::max());
+}
+
 // Guards against crashes that are attributed to a wrong part of a prompt.
 TEST(TablePlatformTest, ReadsPromptParts) {
   http::header_list headers;
