Do not believe a refusal that names no request

A faulty endpoint that writes an earlier refusal without its Attempt-Id made the gateway tell callers "not run, try again", or send an unsafe request to a second endpoint (REFUSED, TWICE).

Cause: a response without an id was taken for the response to this request in every respect.

Before: RefusalThatNamesNoRequestIsNotBelieved gets 503 after sends to two endpoints. After: 502 after one.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -471,9 +471,12 @@
 
 void request_handler::FinishBufferedResponse() {
   const header_names& names = gateway_.adapter.names();
-  const bool not_run = response_head_.status == kMisdirected ||
-                       response_head_.headers.Find(names.not_run) != nullptr;
-  if (not_run) {
+  const bool states_not_run = response_head_.status == kMisdirected ||
+                              response_head_.headers.Find(names.not_run) != nullptr;
+  // A refusal that names no request may be that of another one.
+  const bool names_request =
+      id_.empty() || response_head_.headers.Find(names.request_id) != nullptr;
+  if (states_not_run && names_request) {
     HandleSendFailure(routing::send_failure::kDeclined, run_verdict::kNotRun);
     return;
   }
--- a/tests/gateway/request_handler_test.cc
+++ b/tests/gateway/request_handler_test.cc
@@ -134,6 +134,40 @@
   EXPECT_EQ(response.body, "own");
 }
 
+// Guards against a refusal of an earlier request that a faulty endpoint writes once more: the
+// caller would be told that a request did not run which is running (reported by operators of
+// similar systems).
+TEST_F(request_handler_test, RefusalOfAnotherRequestIsNotBelieved) {
+  int runs = 0;
+  const auto serve = [&runs](auto& c) {
+    ++runs;
+    c.Send(MakeResponse("503 Service Unavailable", "", "Not-Executed: 1\r\n", "fedcba9876543210"));
+    c.Send(MakeResponse("200 OK", "own"));
+  };
+  scripted_endpoint first(loop, serve);
+  scripted_endpoint second(loop, serve);
+  ListEndpoint("e1", "calls", first.address());
+  ListEndpoint("e2", "calls", second.address());
+  const auto handler = Start("POST", "/unsafe/1", "b");
+  ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_EQ(response.status, 200);
+  EXPECT_EQ(response.body, "own");
+  EXPECT_EQ(runs, 1);
+}
+
+// Guards against the same for a refusal that names no request, so that it may be an earlier one's.
+TEST_F(request_handler_test, RefusalThatNamesNoRequestIsNotBelieved) {
+  scripted_endpoint faulty(loop, [](auto& c) {
+    c.Send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  });
+  ListEndpoint("e1", "calls", faulty.address());
+  ListEndpoint("e2", "calls", faulty.address());
+  const auto handler = Start("POST", "/unsafe/1", "b");
+  ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_EQ(response.status, 502);
+  EXPECT_EQ(faulty.connections.size(), 1U);
+}
+
 // Guards against relaying a success without an endpoint's signature.
 TEST_F(request_handler_test, UnsignedSuccessIsRejected) {
   scripted_endpoint forged(loop, [](auto& c) { c.Send(MakeResponse("200 OK", "x", "")); });
