Require ids of events that continue another engine's stream

Callers whose stream broke off found an error's text, or a whole head, in the middle of their stream, which then ended as complete (ORDER, MIXED).

Cause: any text up to an empty line inside a success counted as an event. Events without an id were passed on, since only ids were compared.

Change: where a stream is continued, each event has an id or is a comment; anything else is a bad answer of that endpoint. All events of the bytes are checked before any is passed on, so that none is skipped.

Ruled out: error statuses, refusals and errors without a length, which broke the stream off before the change as well.

Before: TextThatIsNoEventBreaksTheStreamOff and HeadInsideTheStreamBreaksItOff fail.

--- a/include/tarragon/gateway/stream_progress.h
+++ b/include/tarragon/gateway/stream_progress.h
@@ -29,7 +29,11 @@
   /** Starts the stream of the next engine, which continues after the last event. */
   void BeginSend();
 
-  /** @return the events completed by `bytes`; empty if the bytes are no valid event stream. */
+  /**
+   * @return the events completed by `bytes`; empty if the bytes are no valid event stream. Where
+   *     another engine's stream is continued, events need ids, which tell them from an error's
+   * text.
+   */
   std::optional<event_batch> Feed(std::string_view bytes);
 
   /**
@@ -55,6 +59,8 @@
   std::optional<std::uint64_t> last_event_;
   std::uint64_t events_sent_ = 0;
   std::uint64_t events_in_send_ = 0;
+  /** The caller has got events from an earlier engine. */
+  bool is_continued_ = false;
   time_point first_arrival_in_send_;
   std::optional<time_point> last_arrival_;
   duration longest_pause_{0};
--- a/src/gateway/stream_progress.cc
+++ b/src/gateway/stream_progress.cc
@@ -1,12 +1,28 @@
 #include "tarragon/gateway/stream_progress.h"
 
 #include <algorithm>
+#include <ranges>
+#include <string_view>
 #include <vector>
 
 namespace tarragon::gateway {
 
+namespace {
+
+/** @return whether all lines of the event are comments, which carry no part of the answer. */
+bool IsComment(std::string_view event) {
+  const auto is_comment_line = [](auto line) {
+    const std::string_view text(line.begin(), line.end());
+    return text.empty() || text == "\r" || text.starts_with(':');
+  };
+  return std::ranges::all_of(event | std::views::split('\n'), is_comment_line);
+}
+
+}  // namespace
+
 void stream_progress::BeginSend() {
   splitter_ = {};
+  is_continued_ = events_sent_ > 0;
   events_in_send_ = 0;
 }
 
@@ -15,6 +31,12 @@
   if (!splitter_.Feed(bytes, events)) {
     return std::nullopt;
   }
+  const auto is_foreign = [](const http::raw_event& event) {
+    return !event.id && !IsComment(event.bytes);
+  };
+  if (is_continued_ && std::ranges::any_of(events, is_foreign)) {
+    return std::nullopt;
+  }
   event_batch batch;
   batch.events = events.size();
   for (const http::raw_event& event : events) {
