Obey endpoints that say in responses that they leave or pause

The platform has two new rules: an endpoint that leaves says so in all its responses (DRAIN), and one that turns a request away may say for how long it wants no others from that daemon (BUDGET).

Change: endpoint_statements reads both off each response. What a response says marks the incarnation that answered; a later row does not undo it. After 421 it marks the other endpoints at that address. endpoint_pause is kept for each incarnation, the latest end counts, ten minutes at most. All picks, copies and their targets obey. If all endpoints of a service leave or pause for too long, requests are refused at once with a time; those that wait for the end of a pause are spread. The reading of load and limit moves out of request_handler.cc.

Ruled out: one pause for the whole fleet, since the endpoint turns each daemon away by itself; this was not measured (docs/platform.md).

--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -60,6 +60,22 @@
   double slowness = 1;
 };
 
+/** Whether an endpoint says in a response that it leaves. */
+enum class leaving_statement : std::uint8_t {
+  kNone,
+  kLeaving,
+  /** The header is there, with another value than the platform defines. */
+  kUnreadable,
+};
+
+/** Time for which an endpoint that turned a request away wants no further ones. */
+struct pause_statement {
+  /** The longest readable time; empty if there is none. */
+  std::optional<duration> time;
+  /** A value could not be read, or there were several. */
+  bool is_irregular = false;
+};
+
 /** A request to the store or to an engine. */
 struct service_call {
   std::string method;
@@ -121,6 +137,10 @@
   /** @return requests per second that the endpoint takes from all daemons; empty if not limited. */
   virtual std::optional<double> ReadRateLimit(const http::header_list& headers) const = 0;
 
+  virtual leaving_statement ReadLeaving(const http::header_list& headers) const = 0;
+  /** Reads the headers of a response that turns a request away. */
+  virtual pause_statement ReadPause(const http::header_list& headers) const = 0;
+
   /** Path of the readiness check on the readiness address. */
   virtual std::string_view ReadinessPath() const = 0;
 
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -59,8 +59,8 @@
   void OnExchangeError(exchange_error error) override;
 
   void Dispatch();
-  /** Handles that no endpoint accepts work. */
-  void WaitForEndpoint();
+  /** Waits for an endpoint that accepts work, or refuses the request. */
+  void WaitForEndpoint(const routing::pick_result& pick);
   /** Waits for an engine with capacity, or refuses the request. */
   void WaitForCapacity();
   /** Waits for an endpoint that takes one more request by its limit, or refuses the request. */
@@ -81,8 +81,6 @@
   routing::pick_request MakePickRequest() const;
 
   bool IsResponseToThisRequest(const http::message_head& head) const;
-  /** Records the rate that the endpoint names in its answer, or that it names none. */
-  void RecordRateLimit(const http::message_head& head);
   void HandleStreamBytes(std::string_view bytes);
   /** Sends the head of a streamed response unless it has been sent. */
   void BeginResponse();
--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -135,6 +135,13 @@
    * zero if it has room, but for other requests. Empty if there is no such endpoint.
    */
   std::optional<duration> time_to_room;
+  /**
+   * Shortest time until an endpoint whose pause keeps it out may be used; empty if there is none,
+   * or if another one may be used earlier, after a cooldown.
+   */
+  std::optional<duration> time_to_end_of_pause;
+  /** The service has endpoints, and all of them leave. */
+  bool all_leave = false;
 };
 
 /** Purpose of a copy of a generation's KV cache. */
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "tarragon/base/clock.h"
+#include "tarragon/routing/endpoint_pause.h"
 #include "tarragon/routing/event_interval_tracker.h"
 #include "tarragon/routing/rate_limit.h"
 #include "tarragon/routing/slowness_tracker.h"
@@ -52,6 +53,20 @@
   bool operator==(const endpoint_load&) const = default;
 };
 
+/** How this daemon learned that an endpoint leaves. */
+enum class leaving_source : std::uint8_t {
+  /** The endpoint's row says so, or belongs to another incarnation now. */
+  kRow,
+  /** The endpoint's row is gone. */
+  kRemoved,
+  /** Another daemon reported it. */
+  kDaemon,
+  /** The endpoint says so in its responses. */
+  kResponse,
+};
+
+std::string_view ToString(leaving_source source);
+
 /** One incarnation of an endpoint, as known to this daemon. */
 struct endpoint {
   endpoint_entry entry;
@@ -72,6 +87,7 @@
   event_interval_tracker event_interval;
   /** Rate at which the endpoint takes requests. */
   rate_limit limit;
+  endpoint_pause pause;
   /** Load from the requests of this daemon. */
   endpoint_load own_load;
   /** Sum of the loads that the other daemons reported last. */
@@ -94,7 +110,7 @@
 /** Holds all endpoints that the platform lists, and decides which of them are in use. */
 class endpoint_registry final {
  public:
-  using leaving_listener = std::function<void(const endpoint_ptr&)>;
+  using leaving_listener = std::function<void(const endpoint_ptr&, leaving_source)>;
 
   explicit endpoint_registry(registry_options options = {}) : options_(options) {}
 
@@ -116,6 +132,19 @@
    */
   void MarkLeaving(time_point now, std::uint64_t id_hash, std::uint64_t row_version);
 
+  /**
+   * Marks the incarnation that sent a response as leaving. Later rows of the same incarnation do
+   * not undo it; an incarnation with another start or address, or a row written anew, is another
+   * one.
+   */
+  void MarkLeavingByResponse(time_point now, const endpoint_ptr& target);
+
+  /**
+   * Same, if the response came from the target's address but not from the target: marks all other
+   * endpoints that are listed with this address.
+   */
+  void MarkSuccessorsLeaving(time_point now, const endpoint& target);
+
   /** While the store is unavailable, missing endpoints are kept. */
   void OnStoreUnavailable(time_point now);
   void OnStoreRecovered(time_point now);
@@ -131,7 +160,7 @@
   void Validate() const;
 
  private:
-  void BeginLeaving(time_point now, const endpoint_ptr& target);
+  void BeginLeaving(time_point now, const endpoint_ptr& target, leaving_source source);
   void Drop(time_point now, const std::string& id);
   void RebuildServiceIndex();
 
--- a/include/tarragon/routing/overload_policy.h
+++ b/include/tarragon/routing/overload_policy.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "tarragon/base/clock.h"
+#include "tarragon/routing/endpoint_picker.h"
 
 namespace tarragon::routing {
 
@@ -55,6 +56,26 @@
                                     duration time_to_room,
                                     double point);
 
+/**
+ * Decides what becomes of a request while all endpoints that could serve it pause. It waits where
+ * the first pause ends in time, and is otherwise refused at once with a time after that end. The
+ * requests that wait are spread, so that they do not reach the endpoint in one instant.
+ * @param time_to_end shortest time until a pause ends.
+ * @param point uniform random value in [0, 1).
+ */
+overload_decision DecideDuringPause(const waiting_request& request,
+                                    duration time_to_end,
+                                    double point);
+
+/**
+ * Decides what becomes of a request for which no endpoint was picked and no limit is the reason. It
+ * is refused at once if all endpoints leave, or pause for too long. After a cooldown, or while new
+ * endpoints may come, it waits for half of its objective.
+ */
+overload_decision DecideWithoutEndpoint(const pick_result& pick,
+                                        const waiting_request& request,
+                                        double point);
+
 /**
  * @return share of an engine's memory that the request may fill. Short requests may use what is
  * left by long ones, and requests that can still meet their objective go before those that cannot.
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -168,7 +168,9 @@
     shared.random.seed(MakeRandomSeed());
     ApplyRetrySettings();
     shared.endpoints.SetLeavingListener(
-        [this](const routing::endpoint_ptr& endpoint) { OnEndpointLeaving(endpoint); });
+        [this](const routing::endpoint_ptr& endpoint, routing::leaving_source source) {
+          OnEndpointLeaving(endpoint, source);
+        });
     shared.on_request_sent = [this] {
       gossip.ScheduleReport();
       loads.ScheduleExchange();
@@ -226,9 +228,14 @@
     return open;
   }
 
-  void OnEndpointLeaving(const routing::endpoint_ptr& endpoint) {
+  void OnEndpointLeaving(const routing::endpoint_ptr& endpoint, routing::leaving_source source) {
     log.LogState("endpoint_leaving",
-                 {{"endpoint", endpoint->entry.id}, {"own", endpoint->own_load.requests}});
+                 {{"endpoint", endpoint->entry.id},
+                  {"source", ToString(source)},
+                  {"own", endpoint->own_load.requests},
+                  {"known_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                   time.Now() - endpoint->listed_at)
+                                   .count()}});
     gossip.OnEndpointLeaving(*endpoint);
     for (const auto& handler : OpenRequests()) {
       handler->OnEndpointLeaving(*endpoint);
@@ -262,6 +269,20 @@
     });
   }
 
+  void SetEndpointGauges() {
+    const auto set = [this](const char* name, auto predicate) {
+      counters.Gauge(name).Set(
+          std::ranges::count_if(shared.endpoints.all() | std::views::values, predicate));
+    };
+    using routing::endpoint_ptr;
+    set("tarragon_gateway_limited_endpoints",
+        [](const endpoint_ptr& known) { return known->limit.is_limited(); });
+    set("tarragon_gateway_leaving_endpoints",
+        [](const endpoint_ptr& known) { return known->leaving; });
+    set("tarragon_gateway_paused_endpoints",
+        [now = time.Now()](const endpoint_ptr& known) { return known->pause.IsPaused(now); });
+  }
+
   void ScheduleHousekeeping() {
     housekeeping_timer.expires_after(kHousekeepingInterval);
     housekeeping_timer.async_wait([this](const asio::error_code& error) {
@@ -274,11 +295,7 @@
       shared.quarantine.Validate();
       counters.Gauge("tarragon_gateway_quarantined_traits")
           .Set(static_cast<std::int64_t>(shared.quarantine.quarantined_count()));
-      const auto limited = [](const routing::endpoint_ptr& known) {
-        return known->limit.is_limited();
-      };
-      counters.Gauge("tarragon_gateway_limited_endpoints")
-          .Set(std::ranges::count_if(shared.endpoints.all() | std::views::values, limited));
+      SetEndpointGauges();
       counters.Gauge("tarragon_gateway_open_requests")
           .Set(static_cast<std::int64_t>(shared.open_requests.size()));
       counters.Gauge("tarragon_gateway_config_version")
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -8,6 +8,7 @@
 
 #include "tarragon/base/invariant.h"
 #include "tarragon/gateway/endpoint_request.h"
+#include "tarragon/gateway/endpoint_statements.h"
 
 namespace tarragon::gateway {
 
@@ -37,9 +38,6 @@
 /** Cooldown after a failed connect or silence; a crashed endpoint is down for seconds. */
 constexpr std::chrono::milliseconds kFailureCooldown{1000};
 
-/** Interval between attempts to pick an endpoint for a request while none is available. */
-constexpr std::chrono::milliseconds kPickRetryInterval{50};
-
 /** Silence after which a stream's engine counts as failed; healthy events are tens of ms apart. */
 constexpr std::chrono::milliseconds kStreamSilence{1200};
 
@@ -153,7 +151,7 @@
     if (pick.time_to_room) {
       WaitForRoom(*pick.time_to_room);
     } else {
-      WaitForEndpoint();
+      WaitForEndpoint(pick);
     }
     return;
   }
@@ -229,12 +227,12 @@
       [self = shared_from_this(), retry_timer](const asio::error_code&) { self->Dispatch(); });
 }
 
-void request_handler::WaitForEndpoint() {
-  if (Age() >= admitted_.route->latency_objective / 2) {
-    FailRequest("no_endpoint", kBadGateway);
-    return;
-  }
-  DispatchAfter(kPickRetryInterval);
+void request_handler::WaitForEndpoint(const routing::pick_result& pick) {
+  const std::string_view pause_reason =
+      pick.time_to_end_of_pause ? "endpoints_pause" : "no_endpoint";
+  ExecuteWait(DecideWithoutEndpoint(pick, DescribeWait(), RandomPoint()),
+              pick.all_leave ? "endpoints_leave" : pause_reason,
+              "tarragon_gateway_endpoint_waits_total");
 }
 
 routing::waiting_request request_handler::DescribeWait() const {
@@ -317,10 +315,7 @@
   }
   last_progress_at_ = gateway_.time.Now();
   crashes_.OnAnswerBegun();
-  if (const auto load = gateway_.adapter.ReadLoadReport(head.headers)) {
-    target_->slowness.Record(last_progress_at_, load->slowness);
-  }
-  RecordRateLimit(head);
+  RecordStatements(gateway_, target_, head, id_);
   response_head_ = std::move(head);
   const bool success = response_head_.status >= kOk && response_head_.status < kFirstRedirect;
   if (!success) {
@@ -335,21 +330,6 @@
   streaming_ = admitted_.route->kind == routing::repeat_kind::kStream;
 }
 
-void request_handler::RecordRateLimit(const http::message_head& head) {
-  const std::optional<double> per_second = gateway_.adapter.ReadRateLimit(head.headers);
-  // Only the endpoint itself can say that it is no longer limited, not a proxy before it.
-  if (!per_second && head.headers.Find(gateway_.adapter.names().signature) == nullptr) {
-    return;
-  }
-  if (target_->limit.RecordAnswer(per_second) != routing::limit_change::kNone) {
-    gateway_.log.LogRequest(
-        "endpoint_limit", {{"endpoint", target_->entry.id},
-                           {"per_second", per_second ? fmt::format("{:.3f}", *per_second) : "none"},
-                           {"own_sends", target_->limit.OwnSends(gateway_.time.Now())},
-                           {"request", id_}});
-  }
-}
-
 void request_handler::OnResponseBody(std::string_view bytes) {
   const auto self = shared_from_this();
   if (skipping_response_) {
@@ -617,9 +597,11 @@
   }
   const routing::endpoint_ptr engine = gateway_.endpoints.Find(location->endpoint_id);
   const time_point now = gateway_.time.Now();
-  if (!routing::endpoint_picker::TakesByLimit(now, *engine, MakePickRequest())) {
+  if (engine->pause.IsPaused(now) ||
+      !routing::endpoint_picker::TakesByLimit(now, *engine, MakePickRequest())) {
     awaits_copy_ = true;
-    WaitForRoom(engine->limit.TimeToRoom(now, routing::limit_use::kBegunStream));
+    WaitForRoom(std::max(engine->pause.Remaining(now),
+                         engine->limit.TimeToRoom(now, routing::limit_use::kBegunStream)));
     return;
   }
   copies_->TakeCopy();
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -18,11 +18,39 @@
   return total;
 }
 
-bool IsUsable(time_point now, const endpoint& candidate, const pick_request& request) {
-  return candidate.accepts_work() && candidate.cooldown_until <= now &&
+bool MayBeUsedLater(const endpoint& candidate, const pick_request& request) {
+  return candidate.accepts_work() &&
          std::ranges::find(request.excluded, candidate.entry.id) == request.excluded.end();
 }
 
+bool IsUsable(time_point now, const endpoint& candidate, const pick_request& request) {
+  return MayBeUsedLater(candidate, request) && candidate.cooldown_until <= now &&
+         !candidate.pause.IsPaused(now);
+}
+
+/** Describes why no endpoint is usable. */
+void DescribeUnavailability(time_point now,
+                            const std::vector<endpoint_ptr>& candidates,
+                            const pick_request& request,
+                            pick_result& result) {
+  result.all_leave =
+      !candidates.empty() && std::ranges::none_of(candidates, [](const endpoint_ptr& known) {
+        return known->accepts_work();
+      });
+  std::optional<duration> shortest;
+  for (const endpoint_ptr& candidate : candidates) {
+    if (!MayBeUsedLater(*candidate, request)) {
+      continue;
+    }
+    if (!candidate->pause.IsPaused(now)) {
+      return;
+    }
+    const duration remaining = candidate->pause.Remaining(now);
+    shortest = std::min(remaining, shortest.value_or(remaining));
+  }
+  result.time_to_end_of_pause = shortest;
+}
+
 /** @return a uniform value in [0, 1) for the request and the candidate; 0 without entropy. */
 double SpreadPoint(const endpoint& candidate, std::uint64_t entropy) {
   constexpr double kHashRange = 18446744073709551616.0;
@@ -169,12 +197,15 @@
         HasCapacity(*candidate, request, request.memory_share.value_or(options_.max_memory_share));
     const std::chrono::duration<double, std::milli> expected{
         ScoreMs(now, *candidate, request, PredictPauseMiss(predictor, *candidate, request))};
-    const pick_result next{candidate, is_within_limit, has_capacity, expected, {}};
+    const pick_result next{candidate, is_within_limit, has_capacity, expected, {}, {}, false};
     if (!best.chosen || precedes(next, best)) {
       best = next;
     }
   }
   best.time_to_room = time_to_room;
+  if (!best.chosen && !time_to_room) {
+    DescribeUnavailability(now, candidates, request, best);
+  }
   return best;
 }
 
@@ -242,7 +273,7 @@
     point -= candidate.weight;
     return false;
   });
-  return {chosen->engine, true, true, {}, {}};
+  return {chosen->engine, true, true, {}, {}, {}, false};
 }
 
 }  // namespace tarragon::routing
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -1,6 +1,7 @@
 #include "tarragon/routing/endpoint_registry.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 #include <set>
 #include <utility>
@@ -17,6 +18,20 @@
 
 }  // namespace
 
+std::string_view ToString(leaving_source source) {
+  switch (source) {
+    case leaving_source::kRow:
+      return "row";
+    case leaving_source::kRemoved:
+      return "removed";
+    case leaving_source::kDaemon:
+      return "daemon";
+    case leaving_source::kResponse:
+      return "response";
+  }
+  return "unknown";
+}
+
 endpoint_load& endpoint_load::operator+=(const endpoint_load& other) {
   requests += other.requests;
   tokens += other.tokens;
@@ -42,7 +57,7 @@
                                 known->entry.started_unix_ms == entry.started_unix_ms &&
                                 known->entry.service == entry.service;
   if (known && !same_incarnation) {
-    BeginLeaving(now, known);
+    BeginLeaving(now, known, leaving_source::kRow);
     known->listed = false;
   }
   if (!same_incarnation) {
@@ -55,7 +70,7 @@
     RebuildServiceIndex();
   }
   if (known->entry.leaving) {
-    BeginLeaving(now, known);
+    BeginLeaving(now, known, leaving_source::kRow);
   }
 }
 
@@ -95,10 +110,28 @@
   const auto found = std::ranges::find_if(
       endpoints_, [&](const auto& known) { return Hash64(known.first) == id_hash; });
   if (found != endpoints_.end() && found->second->row_version <= row_version) {
-    BeginLeaving(now, found->second);
+    BeginLeaving(now, found->second, leaving_source::kDaemon);
   }
 }
 
+void endpoint_registry::MarkLeavingByResponse(time_point now, const endpoint_ptr& target) {
+  if (Find(target->entry.id) == target) {
+    BeginLeaving(now, target, leaving_source::kResponse);
+  }
+}
+
+void endpoint_registry::MarkSuccessorsLeaving(time_point now, const endpoint& target) {
+  std::vector<endpoint_ptr> successors;
+  std::ranges::copy_if(endpoints_ | std::views::values, std::back_inserter(successors),
+                       [&](const endpoint_ptr& known) {
+                         return known->entry.address == target.entry.address &&
+                                known->entry.id != target.entry.id;
+                       });
+  std::ranges::for_each(successors, [&](const endpoint_ptr& known) {
+    BeginLeaving(now, known, leaving_source::kResponse);
+  });
+}
+
 void endpoint_registry::OnStoreUnavailable(time_point) {
   store_unavailable_ = true;
 }
@@ -131,19 +164,21 @@
     return;
   }
   const endpoint_ptr target = found->second;
-  BeginLeaving(now, target);
+  BeginLeaving(now, target, leaving_source::kRemoved);
   target->listed = false;
   endpoints_.erase(id);
   RebuildServiceIndex();
 }
 
-void endpoint_registry::BeginLeaving(time_point now, const endpoint_ptr& target) {
+void endpoint_registry::BeginLeaving(time_point now,
+                                     const endpoint_ptr& target,
+                                     leaving_source source) {
   if (std::exchange(target->leaving, true)) {
     return;
   }
   target->leaving_since = now;
   if (on_leaving_) {
-    on_leaving_(target);
+    on_leaving_(target, source);
   }
 }
 
--- a/src/routing/overload_policy.cc
+++ b/src/routing/overload_policy.cc
@@ -25,6 +25,13 @@
 constexpr double kMaxRoomWaitInObjectives = 0.5;
 constexpr std::chrono::milliseconds kMinRoomPollDelay{10};
 
+/** Range over which requests are spread that wait for the end of the same pause. */
+constexpr std::chrono::milliseconds kMaxPauseSpread{200};
+/** Interval between attempts to pick an endpoint while none is available. */
+constexpr std::chrono::milliseconds kEndpointPollDelay{50};
+/** A replacement is listed within about this time. */
+constexpr std::chrono::milliseconds kReplacementTime{400};
+
 constexpr double kShortShare = 0.95;
 constexpr double kLongShare = 0.85;
 constexpr double kLateShare = 0.75;
@@ -67,6 +74,38 @@
   return wait_for_capacity{duration_cast<milliseconds>(delay)};
 }
 
+overload_decision DecideDuringPause(const waiting_request& request,
+                                    duration time_to_end,
+                                    double point) {
+  const duration waited = request.pause.value_or(request.age);
+  const double max_objectives = request.pause ? kMaxWaitInObjectives : kMaxRoomWaitInObjectives;
+  const auto max_wait =
+      std::min(duration_cast<duration>(max_objectives * request.latency_objective) - waited,
+               request.remaining);
+  if (time_to_end >= max_wait) {
+    return Refuse(request, time_to_end, point);
+  }
+  const duration spread = std::min<duration>(kMaxPauseSpread, max_wait - time_to_end);
+  return wait_for_capacity{
+      std::chrono::ceil<milliseconds>(time_to_end + duration_cast<duration>(spread * point))};
+}
+
+overload_decision DecideWithoutEndpoint(const pick_result& pick,
+                                        const waiting_request& request,
+                                        double point) {
+  if (pick.all_leave) {
+    return Refuse(request, kReplacementTime, point);
+  }
+  if (pick.time_to_end_of_pause) {
+    return DecideDuringPause(request, *pick.time_to_end_of_pause, point);
+  }
+  if (request.age >=
+      duration_cast<duration>(kMaxRoomWaitInObjectives * request.latency_objective)) {
+    return refuse_for_overload{kReplacementTime};
+  }
+  return wait_for_capacity{kEndpointPollDelay};
+}
+
 double AllowedMemoryShare(const waiting_request& request) {
   const double share = request.is_long ? kLongShare : kShortShare;
   return request.age > request.latency_objective ? std::min(share, kLateShare) : share;
--- a/tests/emulator/caller.cc
+++ b/tests/emulator/caller.cc
@@ -75,7 +75,14 @@
 
 void caller::OnResponseHead(http::message_head head) {
   status_ = head.status;
+  const auto value_of = [&head](std::string_view name) {
+    const std::string* value = head.headers.Find(name);
+    return value == nullptr ? std::string() : *value;
+  };
   has_signature_ = head.headers.Find("Response-Signature") != nullptr;
+  endpoint_ = value_of("Response-Signature");
+  heard_leaving_ = !value_of("Server-Leaving").empty();
+  retry_after_ = value_of("Retry-After");
 }
 
 void caller::OnResponseBody(std::string_view bytes) {
--- a/tests/emulator/caller.h
+++ b/tests/emulator/caller.h
@@ -56,6 +56,13 @@
   /** The response is complete and its status states that the request has not run. */
   bool is_refused() const { return is_complete_ && (status_ == 503 || status_ == 429); }
 
+  /** @return id of the endpoint that signed the response; empty if there is none. */
+  const std::string& endpoint() const { return endpoint_; }
+  /** The response said that its endpoint leaves. */
+  bool heard_leaving() const { return heard_leaving_; }
+  /** Value of the header that states when to come back; empty without one. */
+  const std::string& retry_after() const { return retry_after_; }
+
   /** @return the fault in the part of the response that has arrived; empty if there is none. */
   std::string FindViolation() const;
 
@@ -80,6 +87,9 @@
   std::shared_ptr<gateway::http_exchange> exchange_;
   int status_ = 0;
   bool has_signature_ = false;
+  std::string endpoint_;
+  bool heard_leaving_ = false;
+  std::string retry_after_;
   std::string body_;
   bool is_complete_ = false;
   bool is_done_ = false;
--- a/tests/emulator/endpoint_emulator.cc
+++ b/tests/emulator/endpoint_emulator.cc
@@ -56,14 +56,30 @@
   if (rate_limit_) {
     headers.push_back({"Server-Limit", fmt::format("{:.3f}", *rate_limit_)});
   }
+  if (says_leaving_) {
+    headers.push_back({"Server-Leaving", "1"});
+  }
   return headers;
 }
 
+void endpoint_emulator::Reincarnate(const std::string& id) {
+  says_leaving_ = false;
+  options_.id = id;
+}
+
 void endpoint_emulator::Decline(const incoming_request& request,
                                 const responder_ptr& response,
                                 int status) const {
-  response->SendWhole(status, {{"Attempt-Id", request.Header("Attempt-Id")}, {"Not-Executed", "1"}},
-                      "");
+  std::vector<http::header> headers = {{"Attempt-Id", request.Header("Attempt-Id")},
+                                       {"Not-Executed", "1"}};
+  if (says_leaving_) {
+    headers.push_back({"Server-Leaving", "1"});
+  }
+  if (pause_ && status == kStatusUnavailable) {
+    headers.push_back({"Retry-After", fmt::format("{:.3f}", pause_->count() / 1000.0)});
+    record_.RecordPause(options_.id, request.Header("Attempt-Id"), *pause_);
+  }
+  response->SendWhole(status, headers, "");
 }
 
 void endpoint_emulator::Handle(const incoming_request& request, const responder_ptr& response) {
@@ -85,8 +101,8 @@
 
 void endpoint_emulator::HandleRequest(const incoming_request& request,
                                       const responder_ptr& response) {
-  record_.RecordArrival(options_.id);
-  if (ChooseWithProbability(options_.faults.declined)) {
+  record_.RecordArrival(options_.id, request.Header("Attempt-Id"));
+  if (pause_ || ChooseWithProbability(options_.faults.declined)) {
     Decline(request, response, kStatusUnavailable);
   } else if (request.Path().starts_with("/stream")) {
     HandleGeneration(request, response);
--- a/tests/emulator/endpoint_emulator.h
+++ b/tests/emulator/endpoint_emulator.h
@@ -64,6 +64,13 @@
   /** @param per_second rate that the endpoint names in its answers; empty for none. */
   void SetRateLimit(std::optional<double> per_second) { rate_limit_ = per_second; }
 
+  /** All answers say that the endpoint leaves. */
+  void SayLeaving() { says_leaving_ = true; }
+  /** Turns all requests away and states how long it wants none; empty to serve again. */
+  void TurnAway(std::optional<std::chrono::milliseconds> pause) { pause_ = pause; }
+  /** Becomes a new incarnation at the same address, which does not leave. */
+  void Reincarnate(const std::string& id);
+
   /** Stops at once: resets all connections and loses all generations and copies. */
   void Crash();
   /** Called when a request with the crashing part has crashed the engine. */
@@ -101,6 +108,8 @@
   execution_record& record_;
   directory& engines_;
   std::optional<double> rate_limit_;
+  std::optional<std::chrono::milliseconds> pause_;
+  bool says_leaving_ = false;
   std::mt19937_64 random_;
   std::list<generation> running_;
   /** Event counts of the KV caches that other engines have copied here, by handle. */
--- a/tests/emulator/execution_record.cc
+++ b/tests/emulator/execution_record.cc
@@ -26,6 +26,17 @@
   endpoints.erase(ended);
 }
 
+void execution_record::RecordArrival(const std::string& endpoint, const std::string& request) {
+  arrivals_[endpoint].push_back(time_.Now());
+  request_arrivals_.push_back({endpoint, request, time_.Now()});
+}
+
+void execution_record::RecordPause(const std::string& endpoint,
+                                   const std::string& request,
+                                   std::chrono::milliseconds pause) {
+  pauses_.push_back({endpoint, request, time_.Now(), pause});
+}
+
 std::size_t execution_record::MaxArrivals(const std::string& endpoint,
                                           time_point start,
                                           duration window) const {
--- a/tests/emulator/execution_record.h
+++ b/tests/emulator/execution_record.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_TESTS_EMULATOR_EXECUTION_RECORD_H_
 #define TARRAGON_TESTS_EMULATOR_EXECUTION_RECORD_H_
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <set>
@@ -11,6 +12,21 @@
 
 namespace tarragon::emulator {
 
+/** A request that has reached an endpoint. */
+struct request_arrival {
+  std::string endpoint;
+  std::string request;
+  time_point at;
+};
+
+/** A pause that an endpoint has stated when it turned a request away. */
+struct stated_pause {
+  std::string endpoint;
+  std::string request;
+  time_point at;
+  std::chrono::milliseconds pause{0};
+};
+
 /** Runs of each request at the endpoints, by request id; used to check the gateway's guarantees. */
 class execution_record final {
  public:
@@ -21,7 +37,14 @@
   void RecordEnd(const std::string& request, const std::string& endpoint);
 
   /** Records that an endpoint has got a request, whether it runs it or not. */
-  void RecordArrival(const std::string& endpoint) { arrivals_[endpoint].push_back(time_.Now()); }
+  void RecordArrival(const std::string& endpoint, const std::string& request);
+  /** Records that an endpoint turns a request away and wants no others for `pause`. */
+  void RecordPause(const std::string& endpoint,
+                   const std::string& request,
+                   std::chrono::milliseconds pause);
+
+  const std::vector<request_arrival>& request_arrivals() const { return request_arrivals_; }
+  const std::vector<stated_pause>& pauses() const { return pauses_; }
 
   /** @return the most requests that an endpoint has got within `window`, from `start` on. */
   std::size_t MaxArrivals(const std::string& endpoint, time_point start, duration window) const;
@@ -40,6 +63,8 @@
   std::map<std::string, int> runs_;
   /** By endpoint, the earliest first. */
   std::map<std::string, std::vector<time_point>> arrivals_;
+  std::vector<request_arrival> request_arrivals_;
+  std::vector<stated_pause> pauses_;
   std::map<std::string, std::map<std::string, time_point>> running_;
   std::set<std::string> concurrent_;
 };
--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -159,6 +159,22 @@
   return added;
 }
 
+void fleet_emulator::PublishPlain(std::size_t index, bool leaving) {
+  PublishEndpoint(*plain_.at(index), std::string(kPlain), leaving);
+}
+
+void fleet_emulator::PublishEngine(std::size_t index, bool leaving) {
+  PublishEndpoint(*engines_.at(index), std::string(kEngines), leaving);
+}
+
+std::string fleet_emulator::ReincarnatePlain(std::size_t index) {
+  endpoint_emulator& endpoint = *plain_.at(index);
+  store_.Remove("servers", endpoint.id());
+  endpoint.Reincarnate(fmt::format("{}-{}", kPlain, ++last_endpoint_));
+  PublishPlain(index, /*leaving=*/false);
+  return endpoint.id();
+}
+
 void fleet_emulator::CrashEngine() {
   AddEndpoint(std::string(kEngines));
   stopped_.push_back(RemoveRandomEngine());
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -46,6 +46,14 @@
   const std::vector<std::shared_ptr<caller>>& callers() const { return callers_; }
   std::mt19937_64& random() { return random_; }
   endpoint_emulator& plain_endpoint(std::size_t index) { return *plain_.at(index); }
+  endpoint_emulator& engine(std::size_t index) { return *engines_.at(index); }
+  std::size_t engine_count() const { return engines_.size(); }
+  std::size_t plain_count() const { return plain_.size(); }
+  /** Writes an endpoint's row again. */
+  void PublishPlain(std::size_t index, bool leaving);
+  void PublishEngine(std::size_t index, bool leaving);
+  /** Replaces an endpoint by a new incarnation at the same address. @return its id. */
+  std::string ReincarnatePlain(std::size_t index);
 
   /** Writes a newer version of the configuration to the store. */
   void WriteConfig();
--- a/tests/platform/table_platform_test.cc
+++ b/tests/platform/table_platform_test.cc
@@ -154,6 +154,41 @@
   EXPECT_EQ(largest.value().slots, std::numeric_limits<std::uint32_t>::max());
 }
 
+// Guards against endpoints that are taken out of use because of a value that the platform does not
+// define, and against a departure that is not noticed.
+TEST(TablePlatformTest, ReadsThatAnEndpointLeaves) {
+  using gateway::leaving_statement;
+  http::header_list headers;
+  EXPECT_EQ(kPlatform.ReadLeaving(headers), leaving_statement::kNone);
+  for (const char* value : {"0", "true", "", "11", "1 1"}) {
+    headers.Set("Server-Leaving", value);
+    EXPECT_EQ(kPlatform.ReadLeaving(headers), leaving_statement::kUnreadable) << value;
+  }
+  headers.Set("Server-Leaving", "1");
+  EXPECT_EQ(kPlatform.ReadLeaving(headers), leaving_statement::kLeaving);
+}
+
+// Guards against a pause that is taken for a shorter one, or never ends, because of an odd value.
+TEST(TablePlatformTest, ReadsPauses) {
+  http::header_list headers;
+  EXPECT_FALSE(kPlatform.ReadPause(headers).time);
+  headers.Add("Retry-After", "1.5");
+  EXPECT_EQ(kPlatform.ReadPause(headers).time, std::chrono::milliseconds(1500));
+  EXPECT_FALSE(kPlatform.ReadPause(headers).is_irregular);
+  headers.Add("retry-after", "0.25");
+  EXPECT_EQ(kPlatform.ReadPause(headers).time, std::chrono::milliseconds(1500));
+  EXPECT_TRUE(kPlatform.ReadPause(headers).is_irregular);
+  for (const char* value : {"-1", "nan", "", "soon", "1s", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    headers.Set("Retry-After", value);
+    EXPECT_FALSE(kPlatform.ReadPause(headers).time) << value;
+    EXPECT_TRUE(kPlatform.ReadPause(headers).is_irregular) << value;
+  }
+  for (const char* value : {"1e300", "inf", "99999999999999999999"}) {
+    headers.Set("Retry-After", value);
+    EXPECT_GT(kPlatform.ReadPause(headers).time, std::chrono::hours(1)) << value;
+  }
+}
+
 // Guards against crashes that are attributed to a wrong part of a prompt.
 TEST(TablePlatformTest, ReadsPromptParts) {
   http::header_list headers;
--- a/tests/routing/endpoint_registry_test.cc
+++ b/tests/routing/endpoint_registry_test.cc
@@ -26,8 +26,9 @@
 class endpoint_registry_test : public testing::Test {
  protected:
   endpoint_registry_test() {
-    registry.SetLeavingListener(
-        [this](const endpoint_ptr& target) { left_ids.push_back(target->entry.id); });
+    registry.SetLeavingListener([this](const endpoint_ptr& target, leaving_source) {
+      left_ids.push_back(target->entry.id);
+    });
   }
 
   bool AcceptsWork(const std::string& id) const {
@@ -133,5 +134,44 @@
   registry.Validate();
 }
 
+// Guards against a row that is read late, still says ready and undoes what the endpoint itself
+// said.
+TEST_F(endpoint_registry_test, LaterRowDoesNotUndoWhatTheEndpointSaid) {
+  registry.Put(now, 1, Entry("a"));
+  registry.MarkLeavingByResponse(now, registry.Find("a"));
+  EXPECT_FALSE(AcceptsWork("a"));
+  registry.Put(now, 2, Entry("a"));
+  EXPECT_FALSE(AcceptsWork("a"));
+  EXPECT_EQ(left_ids, std::vector<std::string>{"a"});
+  registry.Validate();
+}
+
+// Guards against a new incarnation that gets no requests because an earlier one said that it
+// leaves.
+TEST_F(endpoint_registry_test, NewIncarnationIsNotLeaving) {
+  registry.Put(now, 1, Entry("a"));
+  const endpoint_ptr first = registry.Find("a");
+  registry.MarkLeavingByResponse(now, first);
+  registry.Put(now, 2, Entry("a", /*leaving=*/false, /*started=*/2));
+  EXPECT_TRUE(AcceptsWork("a"));
+  registry.MarkLeavingByResponse(now, first);
+  EXPECT_TRUE(AcceptsWork("a"));
+  registry.MarkLeavingByResponse(now, registry.Find("a"));
+  registry.Remove(now, 3, "a");
+  registry.Put(now, 4, Entry("a", /*leaving=*/false, /*started=*/2));
+  EXPECT_TRUE(AcceptsWork("a"));
+}
+
+// Guards against blaming the endpoint that was meant for what another one at its address says.
+TEST_F(endpoint_registry_test, SuccessorAtTheSameAddressLeaves) {
+  registry.Put(now, 1, Entry("old"));
+  registry.Put(now, 2, Entry("new"));
+  endpoint_entry elsewhere = Entry("elsewhere");
+  elsewhere.address = "10.0.0.2:80";
+  registry.Put(now, 3, elsewhere);
+  registry.MarkSuccessorsLeaving(now, *registry.Find("old"));
+  EXPECT_EQ(left_ids, std::vector<std::string>{"new"});
+}
+
 }  // namespace
 }  // namespace tarragon::routing
--- a/tests/routing/overload_policy_test.cc
+++ b/tests/routing/overload_policy_test.cc
@@ -48,6 +48,23 @@
             seconds(1));
 }
 
+// Guards against requests that all reach an endpoint in the instant in which its pause ends, and
+// against waiting for a pause that ends too late.
+TEST(OverloadPolicyTest, SpreadsRequestsAfterAPause) {
+  const waiting_request request{.latency_objective = kObjective, .remaining = kDeadline};
+  const auto first = std::get<wait_for_capacity>(DecideDuringPause(request, milliseconds(300), 0));
+  const auto last =
+      std::get<wait_for_capacity>(DecideDuringPause(request, milliseconds(300), 0.999));
+  EXPECT_GE(first.delay, milliseconds(300));
+  EXPECT_GE(last.delay - first.delay, milliseconds(150));
+  const auto refusal = std::get<refuse_for_overload>(DecideDuringPause(request, seconds(3), 0));
+  EXPECT_GE(refusal.retry_after, seconds(3));
+  pick_result leaving;
+  leaving.all_leave = true;
+  const auto all_leave = DecideWithoutEndpoint(leaving, request, 0.999);
+  EXPECT_LE(std::get<refuse_for_overload>(all_leave).retry_after, kDeadline / 3);
+}
+
 // Guards against returning callers who all come back at the same moment.
 TEST(OverloadPolicyTest, SpreadsRetries) {
   const waiting_request request{
