Quarantine an answered part after three windows of late crashes

No caller saw this; our own test showed it. A part that was answered before, crashed five endpoints at once and then one every 2 s reached four endpoints later than 3 s after the fifth crash, where three are allowed (BUDGET).

Cause: crashes of such a part within 500 ms count as one, and six windows were needed, whatever came after the fifth crash.

Change: three windows with crashes after the fifth crash are enough. An innocent popular part is answered in between, which clears its crashes: eight losses of six endpoints each do not quarantine it (new test, which passed before as well).

Ruled out: a lower number of windows for all, since two losses of many endpoints at once would then refuse popular parts.

Before: AnsweredPartThatCrashesFiveAtOnceReachesFewMore (four instead of three) and ...AtAnyPace fail.

--- a/include/tarragon/routing/crash_quarantine.h
+++ b/include/tarragon/routing/crash_quarantine.h
@@ -59,6 +59,12 @@
    */
   std::size_t max_crashes_of_answered = 6;
   duration common_cause_window = std::chrono::milliseconds(500);
+  /**
+   * Windows with crashes after the fifth crash at which a trait is quarantined in any case: the
+   * platform allows three more requests. An innocent trait is answered meanwhile, which clears it.
+   */
+  std::size_t max_late_crashes = 3;
+  std::size_t crashes_before_late = 5;
   /** How long records and answers are kept, and requests refused. */
   duration retention = std::chrono::minutes(10);
   /** Maximum number of records; the oldest are dropped first. */
@@ -159,6 +165,9 @@
   void Decide(time_point now);
   /** @return endpoints whose crashes are attributed to requests that they had begun to answer. */
   endpoint_set EndpointsWithBegunAnswer() const;
+  /** @return number of windows with crashes, without those before `start`. */
+  std::size_t CountWindows(std::span<const time_point> sorted_times,
+                           std::optional<time_point> start) const;
   std::size_t CountUnexplained(const trait_state& state,
                                const endpoint_set& begun,
                                const endpoint_set& explained) const;
--- a/src/routing/crash_quarantine.cc
+++ b/src/routing/crash_quarantine.cc
@@ -163,6 +163,19 @@
   return begun;
 }
 
+std::size_t crash_quarantine::CountWindows(std::span<const time_point> sorted_times,
+                                           std::optional<time_point> start) const {
+  std::size_t count = 0;
+  std::optional<time_point> counted = start;
+  for (const time_point time : sorted_times) {
+    if (!counted || time - *counted >= options_.common_cause_window) {
+      counted = time;
+      ++count;
+    }
+  }
+  return count;
+}
+
 std::size_t crash_quarantine::CountUnexplained(const trait_state& state,
                                                const endpoint_set& begun,
                                                const endpoint_set& explained) const {
@@ -180,15 +193,13 @@
     return times.size();
   }
   std::ranges::sort(times);
-  std::size_t count = 0;
-  std::optional<time_point> counted;
-  for (const time_point time : times) {
-    if (!counted || time - *counted >= options_.common_cause_window) {
-      counted = time;
-      ++count;
-    }
+  const std::size_t windows = CountWindows(times, std::nullopt);
+  if (times.size() < options_.crashes_before_late) {
+    return windows;
   }
-  return count;
+  const time_point last_early = times[options_.crashes_before_late - 1];
+  const bool is_quarantined = CountWindows(times, last_early) >= options_.max_late_crashes;
+  return is_quarantined ? std::max(windows, options_.max_crashes_of_answered) : windows;
 }
 
 std::optional<crash_quarantine::candidate> crash_quarantine::FindCulprit(
--- a/tests/routing/crash_quarantine_test.cc
+++ b/tests/routing/crash_quarantine_test.cc
@@ -163,6 +163,40 @@
   EXPECT_LE(further_sends, kMaxFurtherSends);
 }
 
+// Guards against the same at any pace of the later crashes.
+TEST_F(crash_quarantine_test, AnsweredPartThatCrashesFiveAtOnceReachesFewMoreAtAnyPace) {
+  constexpr int kMaxFurtherSends = 3;
+  for (const milliseconds pace :
+       {milliseconds(600), milliseconds(1100), milliseconds(3100), milliseconds(9000)}) {
+    quarantine = crash_quarantine();
+    Answer(1, kMiddle);
+    for (std::uint64_t i = 0; i < 5; ++i) {
+      Crash(10 + i, kMiddle);
+    }
+    int further_sends = 0;
+    for (std::uint64_t i = 0; i < 10 && !IsQuarantined(kMiddle); ++i) {
+      time += pace;
+      ++further_sends;
+      Crash(20 + i, kMiddle);
+    }
+    EXPECT_LE(further_sends, kMaxFurtherSends) << pace.count();
+  }
+}
+
+// Guards against refusing a popular part after endpoints were lost at once again and again, while
+// its requests are answered in between.
+TEST_F(crash_quarantine_test, PartThatIsAnsweredBetweenLossesIsNotQuarantined) {
+  Answer(1, kMiddle);
+  for (std::uint64_t loss = 0; loss < 8; ++loss) {
+    for (std::uint64_t i = 0; i < 6; ++i) {
+      Crash(100 * (loss + 1) + i, kMiddle);
+    }
+    time += seconds(1);
+    Answer(50 + loss, kMiddle);
+    EXPECT_FALSE(IsQuarantined(kMiddle)) << loss;
+  }
+}
+
 // Guards against refusing requests for ever, and against records that two daemons revive in turn.
 TEST_F(crash_quarantine_test, RecordsExpireAtAllDaemons) {
   Crash(1, kMiddle);
