Apply only changed loads to the endpoints

Cause, by reading: each message about loads visited all endpoints, hashed their ids and looked up each sum; each exchange built a map of all own loads anew.

Change: an exchange remembers the endpoints of which it has heard something new since the last application, visits those and the limited ones, whose sends are counted by time, and all of them after the list has changed. The registry has an index by hash, and own loads are compared in place.

Ruled out: dropping limited endpoints from each pass, since a constant number of recent sends is not told again and would expire.

--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "tarragon/base/clock.h"
@@ -70,6 +71,8 @@
 /** One incarnation of an endpoint, as known to this daemon. */
 struct endpoint {
   endpoint_entry entry;
+  /** XXH3 hash of the id, by which daemons name the endpoint to each other. */
+  std::uint64_t id_hash = 0;
   /** In the store's list, or missing from it only because of an outage of the store. */
   bool listed = true;
   bool leaving = false;
@@ -155,6 +158,10 @@
   /** @return all endpoints of the service, including those that accept no work. */
   const std::vector<endpoint_ptr>& FindByService(std::string_view service) const;
   endpoint_ptr Find(const std::string& id) const;
+  /** @param id_hash XXH3 hash of the endpoint's id. */
+  endpoint_ptr FindByHash(std::uint64_t id_hash) const;
+  /** @return a number that changes whenever an endpoint is added, replaced or removed. */
+  std::uint64_t list_revision() const { return list_revision_; }
   const std::map<std::string, endpoint_ptr>& all() const { return endpoints_; }
 
   void Validate() const;
@@ -162,12 +169,14 @@
  private:
   void BeginLeaving(time_point now, const endpoint_ptr& target, leaving_source source);
   void Drop(time_point now, const std::string& id);
-  void RebuildServiceIndex();
+  void RebuildIndices();
 
   registry_options options_;
   leaving_listener on_leaving_;
   std::map<std::string, endpoint_ptr> endpoints_;
   std::map<std::string, std::vector<endpoint_ptr>, std::less<>> by_service_;
+  std::unordered_map<std::uint64_t, endpoint_ptr> by_hash_;
+  std::uint64_t list_revision_ = 0;
   /** Ids of missing entries, with the time at which each was found missing. */
   std::map<std::string, time_point> missing_since_;
   /** Versions of deleted rows; an older row must not restore a deleted endpoint. */
--- a/include/tarragon/routing/load_exchange.h
+++ b/include/tarragon/routing/load_exchange.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -47,8 +48,12 @@
   /** @return up to `max_count` loads that the neighbor does not know yet, and marks them known. */
   std::vector<endpoint_load_report> TakeChanges(neighbor_id id, std::size_t max_count);
 
-  /** Sets what the other daemons know about each endpoint. */
-  void Apply(time_point now, endpoint_registry& registry) const;
+  /**
+   * Sets what the other daemons know about the endpoints. After the first call, only those are
+   * visited of which the others have told something new, or that have a limit, whose sends are
+   * counted by time; all of them after the list of endpoints has changed.
+   */
+  void Apply(time_point now, endpoint_registry& registry);
 
   void Validate() const;
 
@@ -68,7 +73,17 @@
   endpoint_load_report Sum(std::uint64_t endpoint_hash, const neighbor* receiver) const;
   void MarkChanged(std::uint64_t endpoint_hash, const neighbor* origin);
 
+  /** Drops own loads at endpoints that are not among the reports. */
+  void DropUnreported(const std::vector<endpoint_load_report>& reports);
+  void ApplyTo(time_point now, endpoint& known);
+
   report_map own_;
+  /** Endpoints whose sum may differ from the one that was applied last. */
+  std::unordered_set<std::uint64_t> unapplied_;
+  /** Endpoints whose applied sum has a limit. */
+  std::unordered_set<std::uint64_t> limited_;
+  /** Revision of the list at the last call of `Apply`. */
+  std::optional<std::uint64_t> applied_revision_;
   std::map<neighbor_id, neighbor> neighbors_;
 };
 
--- a/src/gateway/load_relay.cc
+++ b/src/gateway/load_relay.cc
@@ -5,7 +5,6 @@
 #include <ranges>
 #include <utility>
 
-#include "tarragon/base/hash.h"
 #include "tarragon/gateway/socket_options.h"
 
 namespace tarragon::gateway {
@@ -15,7 +14,7 @@
   constexpr double kMaxPercent = 60'000;
   const duration event_interval = known.event_interval.OwnEstimate().value_or(duration(0));
   const double least = std::min(kMaxPercent, kPercent * known.slowness.OwnMinimum().value_or(0));
-  return {Hash64(known.entry.id),
+  return {known.id_hash,
           known.own_load,
           std::chrono::duration_cast<std::chrono::microseconds>(event_interval),
           static_cast<std::uint16_t>(std::lround(least)),
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -63,11 +63,12 @@
   if (!same_incarnation) {
     known = std::make_shared<endpoint>();
     known->listed_at = now;
+    known->id_hash = Hash64(entry.id);
   }
   known->row_version = row_version;
   known->entry = std::move(entry);
   if (!same_incarnation) {
-    RebuildServiceIndex();
+    RebuildIndices();
   }
   if (known->entry.leaving) {
     BeginLeaving(now, known, leaving_source::kRow);
@@ -107,10 +108,9 @@
 void endpoint_registry::MarkLeaving(time_point now,
                                     std::uint64_t id_hash,
                                     std::uint64_t row_version) {
-  const auto found = std::ranges::find_if(
-      endpoints_, [&](const auto& known) { return Hash64(known.first) == id_hash; });
-  if (found != endpoints_.end() && found->second->row_version <= row_version) {
-    BeginLeaving(now, found->second, leaving_source::kDaemon);
+  const endpoint_ptr found = FindByHash(id_hash);
+  if (found && found->row_version <= row_version) {
+    BeginLeaving(now, found, leaving_source::kDaemon);
   }
 }
 
@@ -167,7 +167,7 @@
   BeginLeaving(now, target, leaving_source::kRemoved);
   target->listed = false;
   endpoints_.erase(id);
-  RebuildServiceIndex();
+  RebuildIndices();
 }
 
 void endpoint_registry::BeginLeaving(time_point now,
@@ -188,10 +188,13 @@
   return found == by_service_.end() ? kNone : found->second;
 }
 
-void endpoint_registry::RebuildServiceIndex() {
+void endpoint_registry::RebuildIndices() {
+  ++list_revision_;
   by_service_.clear();
+  by_hash_.clear();
   for (const endpoint_ptr& known : endpoints_ | std::views::values) {
     by_service_[known->entry.service].push_back(known);
+    by_hash_[known->id_hash] = known;
   }
 }
 
@@ -200,9 +203,16 @@
   return found == endpoints_.end() ? nullptr : found->second;
 }
 
+endpoint_ptr endpoint_registry::FindByHash(std::uint64_t id_hash) const {
+  const auto found = by_hash_.find(id_hash);
+  return found == by_hash_.end() ? nullptr : found->second;
+}
+
 void endpoint_registry::Validate() const {
+  TARRAGON_INVARIANT(by_hash_.size() == endpoints_.size(), "the index of hashes is incomplete");
   for (const auto& [id, known] : endpoints_) {
     TARRAGON_INVARIANT(known && known->entry.id == id, id);
+    TARRAGON_INVARIANT(FindByHash(known->id_hash) == known, id);
     TARRAGON_INVARIANT(known->leaving == known->leaving_since.has_value(), id);
     TARRAGON_INVARIANT(std::ranges::find(FindByService(known->entry.service), known) !=
                            FindByService(known->entry.service).end(),
--- a/src/routing/load_exchange.cc
+++ b/src/routing/load_exchange.cc
@@ -5,7 +5,6 @@
 #include <ranges>
 #include <utility>
 
-#include "tarragon/base/hash.h"
 #include "tarragon/base/invariant.h"
 
 namespace tarragon::routing {
@@ -60,29 +59,44 @@
   }
   for (const std::uint64_t hash : found->second.received | std::views::keys) {
     MarkChanged(hash, &found->second);
+    unapplied_.insert(hash);
   }
   neighbors_.erase(found);
 }
 
 void load_exchange::SetOwnLoads(const std::vector<endpoint_load_report>& reports) {
-  report_map fresh;
+  std::size_t filled = 0;
   for (const endpoint_load_report& report : reports) {
-    if (!IsEmpty(report)) {
-      fresh.emplace(report.endpoint_hash, report);
+    const auto known = own_.find(report.endpoint_hash);
+    if (IsEmpty(report)) {
+      if (known != own_.end()) {
+        own_.erase(known);
+        MarkChanged(report.endpoint_hash, nullptr);
+      }
+      continue;
     }
-  }
-  for (const auto& [hash, report] : fresh) {
-    const auto known = own_.find(hash);
+    ++filled;
     if (known == own_.end() || !SaysTheSame(known->second, report)) {
-      MarkChanged(hash, nullptr);
+      own_.insert_or_assign(report.endpoint_hash, report);
+      MarkChanged(report.endpoint_hash, nullptr);
     }
   }
-  for (const std::uint64_t hash : own_ | std::views::keys) {
-    if (!fresh.contains(hash)) {
-      MarkChanged(hash, nullptr);
-    }
+  if (own_.size() > filled) {
+    DropUnreported(reports);
   }
-  own_ = std::move(fresh);
+}
+
+void load_exchange::DropUnreported(const std::vector<endpoint_load_report>& reports) {
+  std::unordered_set<std::uint64_t> reported;
+  std::ranges::transform(reports, std::inserter(reported, reported.end()),
+                         &endpoint_load_report::endpoint_hash);
+  std::vector<std::uint64_t> dropped;
+  std::ranges::copy_if(own_ | std::views::keys, std::back_inserter(dropped),
+                       [&](std::uint64_t hash) { return !reported.contains(hash); });
+  std::ranges::for_each(dropped, [this](std::uint64_t hash) {
+    own_.erase(hash);
+    MarkChanged(hash, nullptr);
+  });
 }
 
 void load_exchange::Receive(neighbor_id id, const std::vector<endpoint_load_report>& changes) {
@@ -97,6 +111,7 @@
       found->second.received.insert_or_assign(report.endpoint_hash, report);
     }
     MarkChanged(report.endpoint_hash, &found->second);
+    unapplied_.insert(report.endpoint_hash);
   }
 }
 
@@ -152,9 +167,30 @@
   return changes;
 }
 
-void load_exchange::Apply(time_point now, endpoint_registry& registry) const {
-  for (const auto& [id, known] : registry.all()) {
-    SetPeerReport(now, *known, Sum(Hash64(id), nullptr));
+void load_exchange::ApplyTo(time_point now, endpoint& known) {
+  const endpoint_load_report sum = Sum(known.id_hash, nullptr);
+  SetPeerReport(now, known, sum);
+  if (sum.limit.revision > 0) {
+    limited_.insert(known.id_hash);
+  } else {
+    limited_.erase(known.id_hash);
+  }
+}
+
+void load_exchange::Apply(time_point now, endpoint_registry& registry) {
+  if (std::exchange(applied_revision_, registry.list_revision()) != registry.list_revision()) {
+    limited_.clear();
+    unapplied_.clear();
+    for (const endpoint_ptr& known : registry.all() | std::views::values) {
+      ApplyTo(now, *known);
+    }
+    return;
+  }
+  unapplied_.insert(limited_.begin(), limited_.end());
+  for (const std::uint64_t hash : std::exchange(unapplied_, {})) {
+    if (const endpoint_ptr known = registry.FindByHash(hash)) {
+      ApplyTo(now, *known);
+    }
   }
 }
 
--- a/tests/routing/load_exchange_test.cc
+++ b/tests/routing/load_exchange_test.cc
@@ -138,6 +138,52 @@
   }
 }
 
+// Guards against a load that is not applied, or stays, because only changed endpoints are visited:
+// after any sequence of messages, lost neighbors and changes of the list.
+RC_GTEST_PROP(LoadExchangeTest, ApplyingChangesGivesTheSameAsApplyingAll, ()) {
+  constexpr std::size_t kEngines = 4;
+  load_exchange stepwise;
+  endpoint_registry registry = MakeRegistry(kEngines);
+  std::map<std::uint64_t, std::map<std::uint64_t, std::uint32_t>> told;
+  const int steps = *rc::gen::inRange(1, 40);
+  for (int step = 1; step <= steps; ++step) {
+    const auto neighbor = *rc::gen::inRange<std::uint64_t>(0, 3);
+    const auto engine = *rc::gen::inRange<std::size_t>(0, kEngines);
+    const std::string id = fmt::format("engine-{:02}", engine);
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        stepwise.RemoveNeighbor(neighbor);
+        told.erase(neighbor);
+        break;
+      case 1: {
+        endpoint_entry entry = registry.Find(id)->entry;
+        entry.started_unix_ms = step;
+        registry.Put(time_point{}, static_cast<std::uint64_t>(step) + 1, entry);
+        break;
+      }
+      default: {
+        const auto requests = *rc::gen::inRange<std::uint32_t>(0, 3);
+        stepwise.AddNeighbor(neighbor, neighbor_kind::kTree);
+        stepwise.Receive(neighbor, {Report(Hash64(id), requests)});
+        told[neighbor][Hash64(id)] = requests;
+      }
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+      stepwise.Apply(time_point{}, registry);
+    }
+  }
+  stepwise.Apply(time_point{}, registry);
+  registry.Validate();
+  for (const auto& [id, known] : registry.all()) {
+    std::uint32_t expected = 0;
+    for (const auto& [neighbor, loads] : told) {
+      const auto found = loads.find(Hash64(id));
+      expected += found == loads.end() ? 0 : found->second;
+    }
+    RC_ASSERT(known->peer_load.requests == expected);
+  }
+}
+
 // Guards against an endpoint's limit, or sends to it, that a part of a large fleet does not know
 // of.
 TEST(LoadExchangeTest, TellsLimitsAndSends) {
