Send no body in responses to HEAD

Cause: only the exchange with the endpoint knew the method.

Change: caller_connection leaves the body out, of its own refusals and of streams, whose last chunk was sent as well; it states no length that it does not know. The metrics server does the same.

Ruled out: errors of the reader, which have no body and close the connection.

Before: AnswersToHeadHaveNoBody fails for a refusal and for a stream.

--- a/include/tarragon/gateway/caller_connection.h
+++ b/include/tarragon/gateway/caller_connection.h
@@ -83,6 +83,8 @@
   bool head_read_ = false;
   bool keep_alive_ = true;
   bool chunked_response_ = true;
+  /** The request's method is HEAD. */
+  bool omits_body_ = false;
   bool body_too_large_ = false;
   bool close_after_write_ = false;
   bool closed_ = false;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -127,6 +127,7 @@
   body_too_large_ = false;
   keep_alive_ = head.keep_alive;
   chunked_response_ = head.is_http_1_1_or_later;
+  omits_body_ = head.method == "HEAD";
   if (head.headers.HasToken("Expect", "100-continue")) {
     Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -184,12 +185,16 @@
 }
 
 void caller_connection::SendResponse(int status, http::header_list headers, std::string_view body) {
-  const bool has_length = status != kNoContent && status != kNotModified;
+  // A response to HEAD may state the length of the body that GET would get, or none.
+  const bool has_unknown_length = omits_body_ && body.empty();
+  const bool has_length = status != kNoContent && status != kNotModified && !has_unknown_length;
   const std::string framing =
       has_length ? fmt::format("Content-Length: {}\r\n", body.size()) : std::string();
   close_after_write_ = close_after_write_ || WillClose();
   std::string text = FormatHead(status, headers, framing);
-  text += body;
+  if (!omits_body_) {
+    text += body;
+  }
   Write(text);
   OnResponseDone();
 }
@@ -201,6 +206,9 @@
 }
 
 void caller_connection::SendStreamBytes(std::string_view bytes) {
+  if (omits_body_) {
+    return;
+  }
   if (!chunked_response_) {
     Write(bytes);
     return;
@@ -212,7 +220,7 @@
 }
 
 void caller_connection::EndStream() {
-  if (chunked_response_) {
+  if (chunked_response_ && !omits_body_) {
     Write("0\r\n\r\n");
   }
   close_after_write_ = close_after_write_ || gateway_.draining;
--- a/src/gateway/status_server.cc
+++ b/src/gateway/status_server.cc
@@ -95,13 +95,14 @@
   void OnHead(http::message_head head) override {
     path_ = head.target.substr(0, head.target.find('?'));
     keep_alive_ = head.keep_alive;
+    omits_body_ = head.method == "HEAD";
   }
   void OnBody(std::string_view) override {}
   void OnMessageEnd() override {
     const response reply = handler_(path_);
     output_ += fmt::format(
         "HTTP/1.1 {} Status\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{}",
-        reply.status, reply.body.size(), reply.body);
+        reply.status, reply.body.size(), omits_body_ ? std::string_view() : reply.body);
   }
 
   void Close() {
@@ -118,6 +119,7 @@
   std::string path_;
   std::string output_;
   bool keep_alive_ = true;
+  bool omits_body_ = false;
 };
 
 status_server::status_server(asio::io_context& loop, handler on_request)
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -147,6 +147,26 @@
   EXPECT_EQ(endpoint.connections.at(0)->received().find("Upgrade"), std::string::npos);
 }
 
+// Guards against a body in the answer to HEAD, which the caller reads as the beginning of the next
+// answer: own refusals, calls, relayed errors and streams.
+TEST_F(caller_connection_test, AnswersToHeadHaveNoBody) {
+  scripted_endpoint endpoint(loop, [](auto& c) {
+    const bool fails = c.received().starts_with("HEAD /safe/error");
+    c.Send(fails ? "HTTP/1.1 404 Not Found\r\nAttempt-Id: 1\r\nContent-Length: 9\r\n\r\n"
+                 : "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nResponse-Signature: s\r\n"
+                   "Content-Length: 4\r\n\r\n");
+  });
+  ListEndpoint("e1", "calls", endpoint.address());
+  ListEndpoint("e2", "engines", endpoint.address());
+  for (const char* path : {"/none", "/safe/1", "/safe/error", "/report/1"}) {
+    raw_caller caller = Connect();
+    caller.Send(Request("HEAD", path, "\r\n") + Request("GET", "/none", "\r\n"));
+    ASSERT_TRUE(RunUntil([&] { return caller.received().ends_with("}"); })) << path;
+    const std::size_t first_end = caller.received().find("\r\n\r\n") + 4;
+    EXPECT_EQ(caller.received().substr(first_end, 12), "HTTP/1.1 404") << path;
+  }
+}
+
 // Guards against callers that keep using a connection to a process that is about to exit.
 TEST_F(caller_connection_test, DrainingGatewayClosesAfterTheResponse) {
   scripted_endpoint endpoint(loop, [](auto& c) { c.Send(kOkResponse); });
