Do not copy generations whose id is not UTF-8

Once an engine left that ran a request with such an id, its gateway heard of no endpoint any more, and requests of all callers went on to endpoints that drain (DRAIN).

Cause: the id was put into a JSON body, and the exception left the handler of the feed of endpoints before that made its next call.

Change: CopyKvCacheCall is empty for such an id, and the generation is not copied. A backup by header is not affected.

Ruled out: replacing the byte, since the result may be another caller's id.

Before: IdThatIsNotUtf8StopsNobody throws type_error.316.

--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -165,10 +165,11 @@
 
   /**
    * Copies the KV cache of a running generation, or its part since the last copy, to another
-   * engine. Sent to the engine that runs the generation.
+   * engine. Sent to the engine that runs the generation. Empty if the platform's format cannot
+   * express the id.
    */
-  virtual service_call CopyKvCacheCall(std::string_view request_id,
-                                       std::string_view to_address) const = 0;
+  virtual std::optional<service_call> CopyKvCacheCall(std::string_view request_id,
+                                                      std::string_view to_address) const = 0;
   virtual decode_result<kv_copy> DecodeKvCopy(std::string_view body) const = 0;
   /** Frees a copy at both engines. Sent to the engine that made the copy. */
   virtual service_call FreeKvCopyCall(std::string_view handle) const = 0;
--- a/include/tarragon/gateway/standby_copy.h
+++ b/include/tarragon/gateway/standby_copy.h
@@ -32,12 +32,14 @@
 class standby_copy final : public exchange_listener,
                            public std::enable_shared_from_this<standby_copy> {
  public:
-  /** @param listener must stay valid until `OnCopyFailed` or `Cancel`. */
+  /**
+   * @param copy_call copies the generation, or what is new, from the source to the target.
+   * @param listener must stay valid until `OnCopyFailed` or `Cancel`.
+   */
   standby_copy(asio::io_context& loop,
                const platform_adapter& adapter,
                std::string source_address,
-               std::string target_address,
-               std::string request_id,
+               service_call copy_call,
                standby_listener& listener);
 
   void Start();
@@ -69,8 +71,7 @@
   asio::io_context& loop_;
   const platform_adapter& adapter_;
   std::string source_address_;
-  std::string target_address_;
-  std::string request_id_;
+  service_call copy_call_;
   standby_listener* listener_;
   asio::steady_timer timer_;
   /** Ends a call that the engine does not answer. */
--- a/src/gateway/generation_copies.cc
+++ b/src/gateway/generation_copies.cc
@@ -163,11 +163,19 @@
   if (!pick.chosen || (backup_ && !better_than_backup)) {
     return;
   }
+  std::optional<service_call> copy_call =
+      gateway_.adapter.CopyKvCacheCall(request_id_, pick.chosen->entry.address);
+  if (!copy_call) {
+    gateway_.log.LogRequest("standby_failed", {{"request", request_id_},
+                                               {"to", pick.chosen->entry.id},
+                                               {"reason", "the call cannot name the request"}});
+    return;
+  }
   standby_target_ = pick.chosen->entry.id;
   standby_reservation_ = {
       pick.chosen, {.requests = 1, .tokens = requirements_.size.tokens(), .long_streams = 1}};
   standby_ = std::make_shared<standby_copy>(gateway_.loop, gateway_.adapter, source_->entry.address,
-                                            pick.chosen->entry.address, request_id_, *this);
+                                            *std::move(copy_call), *this);
   gateway_.log.LogRequest("standby_started", {{"request", request_id_},
                                               {"from", source_->entry.id},
                                               {"to", standby_target_},
--- a/src/gateway/standby_copy.cc
+++ b/src/gateway/standby_copy.cc
@@ -66,14 +66,12 @@
 standby_copy::standby_copy(asio::io_context& loop,
                            const platform_adapter& adapter,
                            std::string source_address,
-                           std::string target_address,
-                           std::string request_id,
+                           service_call copy_call,
                            standby_listener& listener)
     : loop_(loop),
       adapter_(adapter),
       source_address_(std::move(source_address)),
-      target_address_(std::move(target_address)),
-      request_id_(std::move(request_id)),
+      copy_call_(std::move(copy_call)),
       listener_(&listener),
       timer_(loop),
       call_timer_(loop) {}
@@ -111,10 +109,8 @@
     }
   });
   exchange_ = std::make_shared<http_exchange>(loop_, *this);
-  exchange_->Start(
-      source_address_,
-      BuildEngineRequest(adapter_.CopyKvCacheCall(request_id_, target_address_), source_address_),
-      /*no_response_body=*/false);
+  exchange_->Start(source_address_, BuildEngineRequest(copy_call_, source_address_),
+                   /*no_response_body=*/false);
 }
 
 void standby_copy::OnResponseHead(http::message_head head) {
--- a/tests/gateway/request_handler_test.cc
+++ b/tests/gateway/request_handler_test.cc
@@ -168,6 +168,26 @@
   EXPECT_EQ(faulty.connections.size(), 1U);
 }
 
+// Guards against an exception in one request that ends the feed of endpoints for all: an id that is
+// not UTF-8 cannot be put into the call that copies a generation.
+TEST_F(request_handler_test, IdThatIsNotUtf8StopsNobody) {
+  scripted_endpoint engine(loop,
+                           [](auto& c) { c.Send(MakeStreamHead("s", "caf\xe9") + MakeEvent(1)); });
+  ListEndpoint("e1", "engines", engine.address());
+  ListEndpoint("e2", "engines", engine.address());
+  gateway.endpoints.Find("e2")->peer_load = {.requests = 3, .tokens = 22000};
+  std::vector<http::header> headers = LongGeneration();
+  headers.push_back({"Attempt-Id", "caf\xe9"});
+  const auto handler = Start("POST", "/report/1", "b", headers);
+  ASSERT_TRUE(RunUntil([&] { return response.body == EventsText(1, 1); }));
+  gateway.endpoints.SetLeavingListener(
+      [&](const routing::endpoint_ptr& endpoint, routing::leaving_source) {
+        handler->OnEndpointLeaving(*endpoint);
+      });
+  EXPECT_NO_THROW(ListEndpoint("e1", "engines", engine.address(), /*leaving=*/true));
+  handler->OnCallerGone();
+}
+
 // Guards against relaying a success without an endpoint's signature.
 TEST_F(request_handler_test, UnsignedSuccessIsRejected) {
   scripted_endpoint forged(loop, [](auto& c) { c.Send(MakeResponse("200 OK", "x", "")); });
