Keep an unexpected exception from tasks that others share

Cause: an exception was caught around the whole loop only, so that the handler that threw did not arm its timer or make its next call.

Change: RunGuarded catches it around each row, request, datagram, tick and accepted connection; a table watcher reads its table again; a relay connection, which nobody would read any more, is closed.

Ruled out: catching in asio's handlers by a wrapper, which cannot know what has to go on.

Before: ExceptionOfTheListenerDoesNotEndTheWatch sees the exception leave the loop, and no further call. After: the table is read again. gateway_test and platform_test pass; the other guards have no test of their own.

--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <cstddef>
+#include <exception>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,6 +12,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 #include "tarragon/base/clock.h"
 #include "tarragon/base/metrics.h"
@@ -46,6 +48,20 @@
   bool TakeBudget(const std::string& service);
   bool HasBudget(const std::string& service);
 
+  /**
+   * Runs a part of a task that other parts or requests must survive: an exception is logged and
+   * counted, and ends this part only.
+   */
+  template <typename F>
+  void RunGuarded(std::string_view part, F&& run) {
+    try {
+      std::forward<F>(run)();
+    } catch (const std::exception& error) {
+      ReportUnexpectedError(part, error);
+    }
+  }
+  void ReportUnexpectedError(std::string_view part, const std::exception& error);
+
   /** @return the pace of a service's generations that this daemon has seen. */
   const routing::generation_pace& PaceOf(const std::string& service) const;
 
--- a/include/tarragon/gateway/relay_connection.h
+++ b/include/tarragon/gateway/relay_connection.h
@@ -52,6 +52,8 @@
   static constexpr std::chrono::milliseconds kWriteTimeout{3000};
 
   void Read();
+  /** Passes on the messages that are complete. @return false if the connection is useless. */
+  bool HandleBytes(std::string_view bytes);
   void Fail();
 
   asio::ip::tcp::socket socket_;
--- a/include/tarragon/gateway/table_watcher.h
+++ b/include/tarragon/gateway/table_watcher.h
@@ -69,6 +69,8 @@
   void FinishLoad();
   void Watch();
   void OnFeed(store_call_result result);
+  /** Handles a result so that an exception does not end the watch. */
+  void HandleResult(store_call_result result, void (table_watcher::*handle)(store_call_result));
   void OnCallFailed(std::string_view reason);
   void OnCallSucceeded();
   void ScheduleAfter(std::chrono::milliseconds delay, void (table_watcher::*next)());
--- a/src/gateway/config_updater.cc
+++ b/src/gateway/config_updater.cc
@@ -10,7 +10,9 @@
 }
 
 void config_updater::OnChanges(const std::vector<table_row>& rows, const table_position&) {
-  std::ranges::for_each(rows, [this](const table_row& row) { ApplyRow(row); });
+  std::ranges::for_each(rows, [this](const table_row& row) {
+    gateway_.RunGuarded("config_row", [&] { ApplyRow(row); });
+  });
 }
 
 void config_updater::ApplyRow(const table_row& row) {
--- a/src/gateway/endpoint_updater.cc
+++ b/src/gateway/endpoint_updater.cc
@@ -37,9 +37,11 @@
 void endpoint_updater::OnTable(const std::vector<table_row>& rows, const table_position& position) {
   std::vector<std::string> present;
   for (const table_row& row : rows) {
-    if (ApplyRow(row)) {
-      present.push_back(row.key);
-    }
+    gateway_.RunGuarded("endpoint_row", [&] {
+      if (ApplyRow(row)) {
+        present.push_back(row.key);
+      }
+    });
   }
   gateway_.endpoints.RemoveUnlisted(gateway_.time.Now(), position.version, present);
   loaded_ = true;
@@ -47,7 +49,7 @@
 
 void endpoint_updater::OnChanges(const std::vector<table_row>& rows, const table_position&) {
   for (const table_row& row : rows) {
-    ApplyRow(row);
+    gateway_.RunGuarded("endpoint_row", [&] { ApplyRow(row); });
   }
 }
 
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -238,7 +238,7 @@
                                    .count()}});
     gossip.OnEndpointLeaving(*endpoint);
     for (const auto& handler : OpenRequests()) {
-      handler->OnEndpointLeaving(*endpoint);
+      shared.RunGuarded("request", [&] { handler->OnEndpointLeaving(*endpoint); });
     }
   }
 
@@ -254,8 +254,9 @@
         return;
       }
       counters.Counter("tarragon_gateway_connections_total").Add();
-      const auto connection = std::make_shared<caller_connection>(shared, std::move(socket));
-      connection->Start();
+      shared.RunGuarded("accept", [&] {
+        std::make_shared<caller_connection>(shared, std::move(socket))->Start();
+      });
       Accept();
     });
   }
@@ -283,25 +284,29 @@
         [now = time.Now()](const endpoint_ptr& known) { return known->pause.IsPaused(now); });
   }
 
+  void KeepHouse() {
+    shared.endpoints.RemoveMissing(time.Now());
+    shared.endpoints.Validate();
+    shared.quarantine.Expire(time.Now());
+    shared.quarantine.Validate();
+    counters.Gauge("tarragon_gateway_quarantined_traits")
+        .Set(static_cast<std::int64_t>(shared.quarantine.quarantined_count()));
+    SetEndpointGauges();
+    counters.Gauge("tarragon_gateway_open_requests")
+        .Set(static_cast<std::int64_t>(shared.open_requests.size()));
+    counters.Gauge("tarragon_gateway_config_version")
+        .Set(shared.config ? static_cast<std::int64_t>(shared.config->version()) : 0);
+    counters.Gauge("tarragon_gateway_log_lines_dropped")
+        .Set(static_cast<std::int64_t>(log.dropped()));
+  }
+
   void ScheduleHousekeeping() {
     housekeeping_timer.expires_after(kHousekeepingInterval);
     housekeeping_timer.async_wait([this](const asio::error_code& error) {
       if (error) {
         return;
       }
-      shared.endpoints.RemoveMissing(time.Now());
-      shared.endpoints.Validate();
-      shared.quarantine.Expire(time.Now());
-      shared.quarantine.Validate();
-      counters.Gauge("tarragon_gateway_quarantined_traits")
-          .Set(static_cast<std::int64_t>(shared.quarantine.quarantined_count()));
-      SetEndpointGauges();
-      counters.Gauge("tarragon_gateway_open_requests")
-          .Set(static_cast<std::int64_t>(shared.open_requests.size()));
-      counters.Gauge("tarragon_gateway_config_version")
-          .Set(shared.config ? static_cast<std::int64_t>(shared.config->version()) : 0);
-      counters.Gauge("tarragon_gateway_log_lines_dropped")
-          .Set(static_cast<std::int64_t>(log.dropped()));
+      shared.RunGuarded("housekeeping", [this] { KeepHouse(); });
       ScheduleHousekeeping();
     });
   }
@@ -496,8 +501,7 @@
       state_->loop.run();
       running = false;
     } catch (const std::exception& error) {
-      state_->counters.Counter("tarragon_gateway_unexpected_errors_total").Add();
-      state_->log.LogState("unexpected_error", {{"error", error.what()}});
+      state_->shared.ReportUnexpectedError("loop", error);
     }
   }
   state_->log.Flush();
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -32,6 +32,11 @@
   return Budget(service).Remaining(time.Now(), daemons) >= 1;
 }
 
+void gateway_state::ReportUnexpectedError(std::string_view part, const std::exception& error) {
+  counters.Counter("tarragon_gateway_unexpected_errors_total").Add();
+  log.LogState("unexpected_error", {{"part", part}, {"error", error.what()}});
+}
+
 const routing::generation_pace& gateway_state::PaceOf(const std::string& service) const {
   static const routing::generation_pace kUnknown;
   const auto found = paces.find(service);
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -86,16 +86,16 @@
 }
 
 void load_gossip::Receive() {
-  socket_.async_receive_from(asio::buffer(buffer_), sender_,
-                             [this](const asio::error_code& error, std::size_t size) {
-                               if (!socket_.is_open()) {
-                                 return;
-                               }
-                               if (!error) {
-                                 OnDatagram({buffer_.data(), size});
-                               }
-                               Receive();
-                             });
+  socket_.async_receive_from(
+      asio::buffer(buffer_), sender_, [this](const asio::error_code& error, std::size_t size) {
+        if (!socket_.is_open()) {
+          return;
+        }
+        if (!error) {
+          gateway_.RunGuarded("datagram", [this, size] { OnDatagram({buffer_.data(), size}); });
+        }
+        Receive();
+      });
 }
 
 void load_gossip::OnDatagram(std::string_view datagram) {
@@ -119,7 +119,7 @@
     if (error) {
       return;
     }
-    Tick();
+    gateway_.RunGuarded("gossip", [this] { Tick(); });
     ScheduleTick();
   });
 }
--- a/src/gateway/load_relay.cc
+++ b/src/gateway/load_relay.cc
@@ -122,7 +122,7 @@
   root_timer_.expires_after(kRootRetryDelay);
   root_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) {
-      ConnectToRoots();
+      gateway_.RunGuarded("roots", [this] { ConnectToRoots(); });
       ScheduleRootRetry();
     }
   });
@@ -135,7 +135,7 @@
       return;
     }
     if (!links_.empty()) {
-      Exchange();
+      gateway_.RunGuarded("loads", [this] { Exchange(); });
     }
     ScheduleRefresh();
   });
--- a/src/gateway/relay_connection.cc
+++ b/src/gateway/relay_connection.cc
@@ -1,6 +1,7 @@
 #include "tarragon/gateway/relay_connection.h"
 
 #include <asio/write.hpp>
+#include <exception>
 #include <utility>
 
 #include "tarragon/base/invariant.h"
@@ -43,13 +44,8 @@
         if (self->listener_ == nullptr) {
           return;
         }
-        std::vector<relay_message> messages;
-        const bool valid = !error && self->reader_.Feed({self->buffer_.data(), size}, messages);
-        for (relay_message& message : messages) {
-          if (self->listener_ != nullptr) {
-            self->listener_->OnRelayMessage(*self, std::move(message));
-          }
-        }
+        // After an exception nobody would read the connection, so that it is closed.
+        const bool valid = !error && self->HandleBytes({self->buffer_.data(), size});
         if (self->listener_ == nullptr) {
           return;
         }
@@ -61,6 +57,21 @@
       });
 }
 
+bool relay_connection::HandleBytes(std::string_view bytes) {
+  std::vector<relay_message> messages;
+  const bool valid = reader_.Feed(bytes, messages);
+  try {
+    for (relay_message& message : messages) {
+      if (listener_ != nullptr) {
+        listener_->OnRelayMessage(*this, std::move(message));
+      }
+    }
+  } catch (const std::exception&) {
+    return false;
+  }
+  return valid;
+}
+
 void relay_connection::Send(const relay_message& message) {
   TARRAGON_INVARIANT(!writing_, "a message was sent before the last one was written");
   writing_ = true;
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -116,8 +116,10 @@
   timer_.expires_after(kTickInterval);
   timer_.async_wait([this](const asio::error_code& error) {
     if (!error) {
-      ReportRelayedOutage();
-      Update();
+      gateway_.RunGuarded("relay", [this] {
+        ReportRelayedOutage();
+        Update();
+      });
       ScheduleTick();
     }
   });
--- a/src/gateway/table_watcher.cc
+++ b/src/gateway/table_watcher.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <exception>
 #include <iterator>
 #include <utility>
 
@@ -76,6 +77,17 @@
   });
 }
 
+void table_watcher::HandleResult(store_call_result result,
+                                 void (table_watcher::*handle)(store_call_result)) {
+  try {
+    (this->*handle)(std::move(result));
+  } catch (const std::exception& error) {
+    // What the listener has applied is unknown, so that the table is read again.
+    loaded_ = false;
+    OnCallFailed(error.what());
+  }
+}
+
 void table_watcher::Load() {
   page_rows_.clear();
   page_position_.reset();
@@ -86,7 +98,7 @@
   channel_.Call(adapter_.ReadTableCall(table_, from), options_.response_timeout,
                 [this](store_call_result result) {
                   if (running_) {
-                    OnPage(std::move(result));
+                    HandleResult(std::move(result), &table_watcher::OnPage);
                   }
                 });
 }
@@ -136,7 +148,7 @@
   channel_.Call(adapter_.WatchTableCall(table_, version_, wait), wait + options_.response_timeout,
                 [this](store_call_result result) {
                   if (running_) {
-                    OnFeed(std::move(result));
+                    HandleResult(std::move(result), &table_watcher::OnFeed);
                   }
                 });
 }
--- a/tests/gateway/table_watcher_test.cc
+++ b/tests/gateway/table_watcher_test.cc
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -141,5 +142,31 @@
   EXPECT_EQ(channel.targets.size(), 2U);
 }
 
+/** Throws at its first changes. */
+class throwing_listener final : public table_listener {
+ public:
+  void OnTable(const std::vector<table_row>&, const table_position&) override { ++tables; }
+  void OnChanges(const std::vector<table_row>&, const table_position&) override {
+    throw std::runtime_error("unexpected");
+  }
+  void OnStoreLost(std::string_view) override {}
+  void OnStoreRegained() override {}
+
+  int tables = 0;
+};
+
+// Guards against a feed that ends for good because of an exception while a change is applied.
+TEST_F(table_watcher_test, ExceptionOfTheListenerDoesNotEndTheWatch) {
+  channel.results = {Page("", 5), Page(Row("a", 6), 6), Page(Row("a", 6), 6)};
+  throwing_listener throwing;
+  watch_options options;
+  options.initial_backoff = options.max_backoff = std::chrono::milliseconds(1);
+  table_watcher watcher(loop, adapter, channel, "t", throwing, options, 1);
+  watcher.Start(0);
+  EXPECT_NO_THROW(loop.run());
+  EXPECT_EQ(throwing.tables, 2);
+  EXPECT_EQ(channel.targets.size(), 4U);
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
