Drop the trailers of requests

The last trailer of a chunked request became the first header of the next request on its connection, and so reached an endpoint with it (the review showed Content-Digest).

Cause: message_reader kept reading fields into the name and value of a header after the head was complete.

Change: fields after the head count towards the limit of the head's size and are dropped, which RFC 9110, 6.5.1, allows. A message begins with an empty field.

Ruled out: forwarding trailers, since bodies are forwarded with a length.

Before: TrailersDoNotReachTheNextMessage fails. After: it passes.

--- a/src/http/message_reader.cc
+++ b/src/http/message_reader.cc
@@ -41,6 +41,8 @@
   std::string value;
   bool in_value = false;
   bool inside_message = false;
+  /** The head is complete: further fields are trailers, which are not passed on. */
+  bool has_head = false;
   bool expect_no_body = false;
   reader_error error = reader_error::kNone;
 };
@@ -58,6 +60,10 @@
   state.inside_message = true;
   state.head = {};
   state.header_bytes = 0;
+  state.has_head = false;
+  state.name.clear();
+  state.value.clear();
+  state.in_value = false;
   return 0;
 }
 
@@ -75,6 +81,9 @@
 
 int OnHeaderField(http_parser* parser, const char* at, std::size_t length) {
   reader_state& state = GetState(parser);
+  if (state.has_head) {
+    return state.CountHeaderBytes(length);
+  }
   if (state.in_value) {
     state.FinishHeader();
   }
@@ -84,6 +93,9 @@
 
 int OnHeaderValue(http_parser* parser, const char* at, std::size_t length) {
   reader_state& state = GetState(parser);
+  if (state.has_head) {
+    return state.CountHeaderBytes(length);
+  }
   state.in_value = true;
   state.value.append(at, length);
   return state.CountHeaderBytes(length);
@@ -117,6 +129,7 @@
   if (SwitchesProtocol(*parser)) {
     return kReject;
   }
+  state.has_head = true;
   // An upgrade that a request offers may be ignored (RFC 9110, 7.8).
   parser->upgrade = 0;
   message_head& head = state.head;
--- a/tests/http/message_reader_test.cc
+++ b/tests/http/message_reader_test.cc
@@ -114,6 +114,19 @@
   EXPECT_TRUE(received.messages[0].ended);
 }
 
+// Guards against a trailer that becomes a header of the next request.
+TEST(MessageReaderTest, TrailersDoNotReachTheNextMessage) {
+  recorder received;
+  message_reader reader(message_kind::kRequest, received, kMaxHeader);
+  FeedAll(reader,
+          "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+          "Content-Digest: d\r\nTenant: t\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+          5);
+  ASSERT_EQ(received.messages.size(), 2U);
+  EXPECT_EQ(received.messages[0].head.headers.all().size(), 1U);
+  EXPECT_EQ(received.messages[1].head.headers.all(), (std::vector<header>{{"Host", "h"}}));
+}
+
 // Guards against a request that is started and then rejected because it offers an upgrade.
 TEST(MessageReaderTest, OfferedUpgradeIsIgnored) {
   recorder received;
