Keep a connection whose reading has paused

Callers that pipelined more than 64 KB of requests lost their connection, with a request passed on and not answered (LOST).

Cause: above that limit the connection stopped reading, and the pending read was its only owner. It was destroyed together with its open request.

Change: a connection that pauses keeps itself until it reads again or is closed.

Ruled out: a higher limit, which only moves the fault.

Before: ManyPipelinedRequestsAreAllAnswered gets 4 of 600 answers.

--- a/include/tarragon/gateway/caller_connection.h
+++ b/include/tarragon/gateway/caller_connection.h
@@ -73,6 +73,8 @@
   http::message_reader reader_;
   std::array<char, kReadBytes> buffer_{};
   std::string pending_;
+  /** Keeps the connection while reading has paused. */
+  std::shared_ptr<caller_connection> paused_self_;
   caller_request request_;
   std::shared_ptr<request_handler> handler_;
   std::string unsent_;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -81,9 +81,15 @@
 }
 
 void caller_connection::Read() {
-  if (reading_ || closed_ || pending_.size() > kMaxPendingBytes) {
+  if (reading_ || closed_) {
     return;
   }
+  if (pending_.size() > kMaxPendingBytes) {
+    // Without a pending read nothing else owns the connection.
+    paused_self_ = shared_from_this();
+    return;
+  }
+  paused_self_.reset();
   reading_ = true;
   socket_.async_read_some(
       asio::buffer(buffer_),
@@ -318,6 +324,10 @@
   }
   CountUnsent();
   timer_.cancel();
+  if (paused_self_) {
+    // The caller of this method may still use the connection.
+    asio::post(socket_.get_executor(), [self = std::exchange(paused_self_, nullptr)] {});
+  }
   asio::error_code ignored;
   if (reset) {
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -147,6 +147,29 @@
   EXPECT_EQ(endpoint.connections.at(0)->received().find("Upgrade"), std::string::npos);
 }
 
+// Guards against a connection that is destroyed with its open request because reading has paused.
+TEST_F(caller_connection_test, ManyPipelinedRequestsAreAllAnswered) {
+  constexpr int kRequests = 600;
+  scripted_endpoint endpoint(loop, [](auto& c) { c.Send(kOkResponse); });
+  ListEndpoint("e1", "calls", endpoint.address());
+  raw_caller caller = Connect();
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests += Request("GET", "/safe/1", "X-Filler: " + std::string(100, 'f') + "\r\n\r\n");
+  }
+  caller.Send(requests);
+  const auto answers = [&] {
+    int count = 0;
+    for (auto at = caller.received().find("fine"); at != std::string::npos;
+         at = caller.received().find("fine", at + 1)) {
+      ++count;
+    }
+    return count;
+  };
+  EXPECT_TRUE(RunUntil([&] { return answers() == kRequests || caller.ended(); }));
+  EXPECT_EQ(answers(), kRequests);
+}
+
 // Guards against a body in the answer to HEAD, which the caller reads as the beginning of the next
 // answer: own refusals, calls, relayed errors and streams.
 TEST_F(caller_connection_test, AnswersToHeadHaveNoBody) {
