Finish a request once if its caller is found gone while it is answered

Cause: above 8 MB of unsent bytes the connection is reset and tells its request that the caller is gone, inside the call that writes the answer. The request then finished a second time.

Change: after each call that writes, the request looks whether it has finished.

Ruled out: telling the request later, by a posted call: it would write to a connection that is closed.

Before: CallerThatDoesNotReadEndsNoProcess ends with the failed invariant "the request has already been finished". After: it passes.

--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -109,6 +109,8 @@
                    std::chrono::milliseconds retry_after = kDefaultRetryAfter);
   void AbortResponse(std::string_view reason);
   void Finish(std::string_view outcome);
+  /** The writer may have found while it wrote the response that the caller is gone. */
+  void FinishUnlessGone(std::string_view outcome);
 
   void CloseExchange();
   void ArmTimer();
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -367,10 +367,10 @@
     sends_without_progress_ = failed_connects_ = 0;
   }
   BeginResponse();
-  if (writer_ != nullptr) {
+  if (!finished_) {
     writer_->SendStreamBytes(batch->bytes);
   }
-  if (first_of_send) {
+  if (first_of_send && !finished_) {
     copies_->OnRunStarted();
   }
 }
@@ -440,8 +440,10 @@
   target_->consecutive_failures = 0;
   crashes_.OnAnswered();
   BeginResponse();
-  writer_->EndStream();
-  Finish("completed");
+  if (!finished_) {
+    writer_->EndStream();
+  }
+  FinishUnlessGone("completed");
 }
 
 void request_handler::DropResponseBody() {
@@ -478,7 +480,7 @@
   http::header_list headers = response_head_.headers;
   headers.RemoveHopByHop();
   writer_->SendResponse(response_head_.status, std::move(headers), response_body_);
-  Finish(response_head_.status < kServerError ? "completed" : "endpoint_failure");
+  FinishUnlessGone(response_head_.status < kServerError ? "completed" : "endpoint_failure");
 }
 
 void request_handler::OnExchangeError(exchange_error error) {
@@ -664,7 +666,7 @@
   const std::string body =
       fmt::format(R"({{"error":{{"code":"{}","status":{}}}}})", reason, status);
   writer_->SendResponse(status, std::move(headers), body);
-  Finish(reason);
+  FinishUnlessGone(reason);
 }
 
 void request_handler::AbortResponse(std::string_view reason) {
@@ -672,6 +674,12 @@
   Finish(reason);
 }
 
+void request_handler::FinishUnlessGone(std::string_view outcome) {
+  if (!finished_) {
+    Finish(outcome);
+  }
+}
+
 void request_handler::Finish(std::string_view outcome) {
   TARRAGON_INVARIANT(!finished_, "the request has already been finished");
   finished_ = true;
--- a/tests/gateway/caller_connection_test.cc
+++ b/tests/gateway/caller_connection_test.cc
@@ -170,6 +170,31 @@
   EXPECT_EQ(answers(), kRequests);
 }
 
+// Guards against ending the process: a caller that does not read large pipelined answers was found
+// gone while its last answer was written, and its request ended twice.
+TEST_F(caller_connection_test, CallerThatDoesNotReadEndsNoProcess) {
+  constexpr int kRequests = 6;
+  const std::string body(std::size_t{3} << 20, 'b');
+  const std::string large = fmt::format(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nResponse-Signature: s\r\nContent-Length: {}\r\n\r\n",
+      body.size());
+  std::vector<std::shared_ptr<std::string>> answers;
+  scripted_endpoint endpoint(loop, [&](auto& c) { c.SendLater(large + body); });
+  ListEndpoint("e1", "calls", endpoint.address());
+  asio::ip::tcp::socket caller(loop);
+  caller.open(asio::ip::tcp::v4());
+  caller.set_option(asio::socket_base::receive_buffer_size(4096));
+  caller.connect(acceptor.local_endpoint());
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests += Request("GET", "/safe/1", "\r\n");
+  }
+  asio::write(caller, asio::buffer(requests));
+  EXPECT_TRUE(RunUntil([&] { return endpoint.connections.size() >= 4; }));
+  EXPECT_TRUE(RunUntil([&] { return gateway.open_requests.empty(); }));
+  EXPECT_EQ(gateway.unsent_connections, 0U);
+}
+
 // Guards against a body in the answer to HEAD, which the caller reads as the beginning of the next
 // answer: own refusals, calls, relayed errors and streams.
 TEST_F(caller_connection_test, AnswersToHeadHaveNoBody) {
--- a/tests/gateway/scripted_endpoint.h
+++ b/tests/gateway/scripted_endpoint.h
@@ -20,6 +20,12 @@
   explicit scripted_connection(asio::ip::tcp::socket socket) : socket_(std::move(socket)) {}
 
   void Send(std::string_view text) { asio::write(socket_, asio::buffer(text)); }
+  /** Sends without blocking the loop, for texts that do not fit into the socket's buffer. */
+  void SendLater(std::string text) {
+    auto bytes = std::make_shared<std::string>(std::move(text));
+    asio::async_write(socket_, asio::buffer(*bytes),
+                      [self = shared_from_this(), bytes](const asio::error_code&, std::size_t) {});
+  }
   /** Closes the connection without a reset. */
   void Close() { socket_.close(); }
   void Reset() {
