Leave a silent send only where another one is possible

Cause: after 1.2 s without an event the send was ended; whether the budget, the attempts and the endpoints allow another one was decided afterwards.

Change: the plan of recovery and a pick are made first, without the current endpoint. If they give nothing, the gateway waits as the caller would, and looks again after the recheck interval.

Ruled out: a longer silence, which delays the move where one is possible.

Before: SoundStreamIsNotCutWithoutAnAlternative fails, the stream is broken off. After: it passes, as does the rest of gateway_test.

--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -118,6 +118,8 @@
   std::chrono::milliseconds RemainingTime() const;
   std::chrono::milliseconds Age() const;
   std::optional<time_point> SilenceDeadline() const;
+  /** @return whether the request can go on at another endpoint if its current send is ended. */
+  bool CanMoveElsewhere() const;
   routing::request_progress Progress() const;
 
   gateway_state& gateway_;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -754,15 +754,33 @@
                              : sent_at_ + 2 * admitted_.route->latency_objective;
 }
 
+bool request_handler::CanMoveElsewhere() const {
+  routing::request_progress progress = Progress();
+  ++progress.possible_runs;
+  ++progress.sends;
+  const routing::next_step step = PlanRecovery(progress, routing::send_failure::kSilent,
+                                               Combine(verdict_, run_verdict::kMayHaveRun));
+  if (std::holds_alternative<routing::resume_from_copy>(step)) {
+    return true;
+  }
+  const bool sends_again = std::holds_alternative<routing::send_elsewhere>(step) ||
+                           std::holds_alternative<routing::resume_elsewhere>(step);
+  routing::pick_request wanted = MakePickRequest();
+  wanted.excluded.push_back(target_->entry.id);
+  return sends_again &&
+         gateway_.picker.Pick(gateway_.time.Now(), gateway_.endpoints, wanted).chosen != nullptr;
+}
+
 void request_handler::ArmTimer() {
   if (finished_) {
     return;
   }
+  const time_point now = gateway_.time.Now();
   time_point next = admitted_.deadline;
-  if (const auto limit = SilenceDeadline()) {
+  // A limit that has passed is looked at again after the recheck interval.
+  if (const auto limit = SilenceDeadline(); limit && *limit > now) {
     next = std::min(next, *limit);
   }
-  const time_point now = gateway_.time.Now();
   const duration wait = std::max<duration>(next - now, std::chrono::milliseconds(1));
   // The silence deadline of a later send may be earlier than that of the current send.
   const duration recheck =
@@ -784,7 +802,7 @@
     FailRequest("deadline", kGatewayTimeout);
     return;
   }
-  if (const auto limit = SilenceDeadline(); limit && now >= *limit) {
+  if (const auto limit = SilenceDeadline(); limit && now >= *limit && CanMoveElsewhere()) {
     HandleSendFailure(routing::send_failure::kSilent, run_verdict::kMayHaveRun);
   }
   ArmTimer();
