--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -62,6 +62,9 @@
   }
   void ReportUnexpectedError(std::string_view part, const std::exception& error);
 
+  /** Drops what has expired and sets the gauges; called several times a second. */
+  void KeepHouse();
+
   /** @return the pace of a service's generations that this daemon has seen. */
   const routing::generation_pace& PaceOf(const std::string& service) const;
 
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -270,43 +270,13 @@
     });
   }
 
-  void SetEndpointGauges() {
-    const auto set = [this](const char* name, auto predicate) {
-      counters.Gauge(name).Set(
-          std::ranges::count_if(shared.endpoints.all() | std::views::values, predicate));
-    };
-    using routing::endpoint_ptr;
-    set("tarragon_gateway_limited_endpoints",
-        [](const endpoint_ptr& known) { return known->limit.is_limited(); });
-    set("tarragon_gateway_leaving_endpoints",
-        [](const endpoint_ptr& known) { return known->leaving; });
-    set("tarragon_gateway_paused_endpoints",
-        [now = time.Now()](const endpoint_ptr& known) { return known->pause.IsPaused(now); });
-  }
-
-  void KeepHouse() {
-    shared.endpoints.RemoveMissing(time.Now());
-    shared.endpoints.Validate();
-    shared.quarantine.Expire(time.Now());
-    shared.quarantine.Validate();
-    counters.Gauge("tarragon_gateway_quarantined_traits")
-        .Set(static_cast<std::int64_t>(shared.quarantine.quarantined_count()));
-    SetEndpointGauges();
-    counters.Gauge("tarragon_gateway_open_requests")
-        .Set(static_cast<std::int64_t>(shared.open_requests.size()));
-    counters.Gauge("tarragon_gateway_config_version")
-        .Set(shared.config ? static_cast<std::int64_t>(shared.config->version()) : 0);
-    counters.Gauge("tarragon_gateway_log_lines_dropped")
-        .Set(static_cast<std::int64_t>(log.dropped()));
-  }
-
   void ScheduleHousekeeping() {
     housekeeping_timer.expires_after(kHousekeepingInterval);
     housekeeping_timer.async_wait([this](const asio::error_code& error) {
       if (error) {
         return;
       }
-      shared.RunGuarded("housekeeping", [this] { KeepHouse(); });
+      shared.RunGuarded("housekeeping", [this] { shared.KeepHouse(); });
       ScheduleHousekeeping();
     });
   }
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -1,5 +1,9 @@
 #include "tarragon/gateway/gateway_state.h"
 
+#include <algorithm>
+#include <cstdint>
+#include <ranges>
+
 namespace tarragon::gateway {
 
 gateway_state::gateway_state(asio::io_context& event_loop,
@@ -37,6 +41,33 @@
   log.LogState("unexpected_error", {{"part", part}, {"error", error.what()}});
 }
 
+void gateway_state::KeepHouse() {
+  const time_point now = time.Now();
+  endpoints.RemoveMissing(now);
+  endpoints.Validate();
+  quarantine.Expire(now);
+  quarantine.Validate();
+  const auto set_count = [this](const char* gauge, auto predicate) {
+    counters.Gauge(gauge).Set(
+        std::ranges::count_if(endpoints.all() | std::views::values, predicate));
+  };
+  using routing::endpoint_ptr;
+  set_count("tarragon_gateway_limited_endpoints",
+            [](const endpoint_ptr& known) { return known->limit.is_limited(); });
+  set_count("tarragon_gateway_leaving_endpoints",
+            [](const endpoint_ptr& known) { return known->leaving; });
+  set_count("tarragon_gateway_paused_endpoints",
+            [now](const endpoint_ptr& known) { return known->pause.IsPaused(now); });
+  const auto set = [this](const char* gauge, auto value) {
+    counters.Gauge(gauge).Set(static_cast<std::int64_t>(value));
+  };
+  set("tarragon_gateway_quarantined_traits", quarantine.quarantined_count());
+  set("tarragon_gateway_open_requests", open_requests.size());
+  set("tarragon_gateway_unsent_connections", unsent_connections);
+  set("tarragon_gateway_config_version", config ? config->version() : 0);
+  set("tarragon_gateway_log_lines_dropped", log.dropped());
+}
+
 const routing::generation_pace& gateway_state::PaceOf(const std::string& service) const {
   static const routing::generation_pace kUnknown;
   const auto found = paces.find(service);
