--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -147,7 +147,7 @@
 
 std::string fleet_emulator::ReplaceEngine(std::chrono::milliseconds notice) {
   AddEndpoint(std::string(kEngines));
-  const std::string added = engines_.back()->id();
+  std::string added = engines_.back()->id();
   stopped_.push_back(RemoveRandomEngine());
   endpoint_emulator* const leaving = stopped_.back().get();
   PublishEndpoint(*leaving, std::string(kEngines), /*leaving=*/true);
@@ -186,7 +186,7 @@
                                                     std::uint64_t events,
                                                     std::size_t gateway_index,
                                                     const std::string& prompt_parts) {
-  const std::shared_ptr<caller> added = MakeRequest(kind, events);
+  std::shared_ptr<caller> added = MakeRequest(kind, events);
   added->SetPromptParts(prompt_parts);
   added->Send(gateway(gateway_index).callers_address());
   return added;
--- a/tests/emulator/planned_stop_test.cc
+++ b/tests/emulator/planned_stop_test.cc
@@ -57,7 +57,7 @@
   std::shared_ptr<caller> MakeRandomRequest() {
     const auto kind = static_cast<call_kind>(fleet.random()() % 4);
     const std::uint64_t events = 1 + fleet.random()() % 200;
-    const std::shared_ptr<caller> request = fleet.MakeRequest(kind, events);
+    std::shared_ptr<caller> request = fleet.MakeRequest(kind, events);
     request->SetMaxOutput(events + fleet.random()() % 60);
     if (fleet.random()() % 8 == 0) {
       request->OmitSize();
@@ -156,7 +156,7 @@
   const auto connection = std::make_shared<kept_connection>(
       fleet.loop(), time, fleet.gateway(0).callers_address(),
       [&fleet] {
-        const auto request = fleet.MakeRequest(call_kind::kCommit, 0);
+        auto request = fleet.MakeRequest(call_kind::kCommit, 0);
         request->SetExtraBytes(kLargeAnswer);
         return request;
       },
