--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -145,9 +145,13 @@
   return taken;
 }
 
-std::string fleet_emulator::ReplaceEngine(std::chrono::milliseconds notice) {
+std::string fleet_emulator::AddEngine() {
   AddEndpoint(std::string(kEngines));
-  std::string added = engines_.back()->id();
+  return engines_.back()->id();
+}
+
+void fleet_emulator::ReplaceEngine(std::chrono::milliseconds notice) {
+  AddEngine();
   stopped_.push_back(RemoveRandomEngine());
   endpoint_emulator* const leaving = stopped_.back().get();
   PublishEndpoint(*leaving, std::string(kEngines), /*leaving=*/true);
@@ -156,7 +160,6 @@
     leaving->Crash();
     store_.Remove("servers", leaving->id());
   });
-  return added;
 }
 
 void fleet_emulator::PublishPlain(std::size_t index, bool leaving) {
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -73,11 +73,10 @@
   const std::vector<time_point>& crashes() const { return crashes_; }
   time_point Now() const { return time_.Now(); }
 
-  /**
-   * Adds an engine; another one announces that it leaves, and stops after `notice`.
-   * @return id of the added engine.
-   */
-  std::string ReplaceEngine(std::chrono::milliseconds notice);
+  /** @return id of the added engine. */
+  std::string AddEngine();
+  /** Adds an engine; a random one announces that it leaves, and stops after `notice`. */
+  void ReplaceEngine(std::chrono::milliseconds notice);
   /** Adds an engine; another one stops without notice. */
   void CrashEngine();
 
--- a/tests/emulator/gateway_fleet_test.cc
+++ b/tests/emulator/gateway_fleet_test.cc
@@ -152,7 +152,7 @@
     fleet.store().Put("servers", fmt::format("odd-{}", i), odd_rows[i]);
     fleet.store().Put("servers", fmt::format("odd-\u00fc\n{}", i), odd_rows[i]);
   }
-  const std::string newest = fleet.ReplaceEngine(milliseconds(300));
+  const std::string newest = fleet.AddEngine();
   EXPECT_TRUE(fleet.RunUntil(
       [&] {
         return fleet.FindInLogs(fmt::format("endpoint_listed endpoint={} ", newest)).size() ==
