--- a/tests/emulator/planned_stop_test.cc
+++ b/tests/emulator/planned_stop_test.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <ranges>
 #include <string>
 #include <vector>
@@ -31,6 +32,10 @@
   milliseconds event_interval{5};
 };
 
+void PrintTo(const stop_case& played, std::ostream* out) {
+  *out << "seed " << played.seed << ", events every " << played.event_interval.count() << " ms";
+}
+
 std::vector<stop_case> StopCases() {
   if (const char* seed = std::getenv("TARRAGON_FLEET_SEED")) {
     const std::uint64_t number = std::stoull(seed);
