Report own loads without scanning all endpoints

The endpoints at which load is reserved are now kept, and lists of more than 256 endpoints are scanned once a second for anything else. Shorter lists are scanned each time as before. A counter of changes in each endpoint was ruled out, since each new kind of statement would have to raise it.

--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -25,6 +25,7 @@
 #include "tarragon/routing/send_budget.h"
 #include "tarragon/routing/service_config.h"
 #include "tarragon/routing/store_clock.h"
+#include "tarragon/routing/used_endpoints.h"
 
 namespace tarragon::gateway {
 
@@ -85,6 +86,8 @@
   /** Null until the first configuration has been read. */
   routing::service_config_ptr config;
   routing::endpoint_registry endpoints;
+  /** Each endpoint at which load is reserved must be added. */
+  routing::used_endpoints used_endpoints;
   routing::store_clock store_time;
   routing::endpoint_picker picker;
   routing::crash_quarantine quarantine;
--- a/src/gateway/generation_copies.cc
+++ b/src/gateway/generation_copies.cc
@@ -65,6 +65,7 @@
   requested_backup_ =
       copy_location{pick.chosen->entry.id, gateway_.adapter.KvCopyReference(address, request_id_)};
   backup_reservation_ = {pick.chosen, {.tokens = requirements_.size.tokens()}};
+  gateway_.used_endpoints.Add(pick.chosen);
   return address;
 }
 
@@ -174,6 +175,7 @@
   standby_target_ = pick.chosen->entry.id;
   standby_reservation_ = {
       pick.chosen, {.requests = 1, .tokens = requirements_.size.tokens(), .long_streams = 1}};
+  gateway_.used_endpoints.Add(pick.chosen);
   standby_ = std::make_shared<standby_copy>(gateway_.loop, gateway_.adapter, source_->entry.address,
                                             *std::move(copy_call), *this);
   gateway_.log.LogRequest("standby_started", {{"request", request_id_},
--- a/src/gateway/load_relay.cc
+++ b/src/gateway/load_relay.cc
@@ -22,16 +22,6 @@
           known.limit.statement()};
 }
 
-namespace {
-
-/** @return whether this daemon has anything to tell; in a large fleet it uses few endpoints. */
-bool HasOwnReport(const routing::endpoint& known) {
-  return known.own_load != routing::endpoint_load{} || known.event_interval.OwnEstimate() ||
-         known.slowness.OwnMinimum() || known.limit.statement().revision > 0;
-}
-
-}  // namespace
-
 load_relay::load_relay(gateway_state& gateway)
     : gateway_(gateway),
       batch_timer_(gateway.loop),
@@ -167,8 +157,9 @@
 void load_relay::UpdateOwnLoads() {
   const time_point now = gateway_.time.Now();
   std::vector<routing::endpoint_load_report> reports;
-  for (const routing::endpoint_ptr& known : gateway_.endpoints.all() | std::views::values) {
-    if (!HasOwnReport(*known)) {
+  for (const routing::endpoint_ptr& known :
+       gateway_.used_endpoints.Collect(now, gateway_.endpoints)) {
+    if (!routing::HasOwnReport(*known)) {
       continue;
     }
     routing::endpoint_load_report report = MakeLoadReport(now, *known);
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -191,6 +191,7 @@
                    .tokens = admitted_.size.tokens(),
                    .unread_tokens = copy ? 0 : admitted_.size.prompt_tokens,
                    .long_streams = is_long ? 1U : 0U}};
+  gateway_.used_endpoints.Add(target_);
   ++sends_;
   sent_at_ = last_progress_at_ = gateway_.time.Now();
   target_->limit.RecordSend(sent_at_);
