Validate the list of endpoints in linear time

Both are ordered by id, so one walk compares them and also finds an entry of the index that the list lacks. The gauges take one pass instead of three. Checking a part of the list each time was ruled out: it finds a fault later.

--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -47,20 +47,20 @@
   endpoints.Validate();
   quarantine.Expire(now);
   quarantine.Validate();
-  const auto set_count = [this](const char* gauge, auto predicate) {
-    counters.Gauge(gauge).Set(
-        std::ranges::count_if(endpoints.all() | std::views::values, predicate));
-  };
-  using routing::endpoint_ptr;
-  set_count("tarragon_gateway_limited_endpoints",
-            [](const endpoint_ptr& known) { return known->limit.is_limited(); });
-  set_count("tarragon_gateway_leaving_endpoints",
-            [](const endpoint_ptr& known) { return known->leaving; });
-  set_count("tarragon_gateway_paused_endpoints",
-            [now](const endpoint_ptr& known) { return known->pause.IsPaused(now); });
   const auto set = [this](const char* gauge, auto value) {
     counters.Gauge(gauge).Set(static_cast<std::int64_t>(value));
   };
+  std::size_t limited = 0;
+  std::size_t leaving = 0;
+  std::size_t paused = 0;
+  for (const routing::endpoint_ptr& known : endpoints.all() | std::views::values) {
+    limited += known->limit.is_limited() ? 1 : 0;
+    leaving += known->leaving ? 1 : 0;
+    paused += known->pause.IsPaused(now) ? 1 : 0;
+  }
+  set("tarragon_gateway_limited_endpoints", limited);
+  set("tarragon_gateway_leaving_endpoints", leaving);
+  set("tarragon_gateway_paused_endpoints", paused);
   set("tarragon_gateway_quarantined_traits", quarantine.quarantined_count());
   set("tarragon_gateway_open_requests", open_requests.size());
   set("tarragon_gateway_unsent_connections", unsent_connections);
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -223,13 +223,19 @@
 
 void endpoint_registry::Validate() const {
   TARRAGON_INVARIANT(by_hash_.size() == endpoints_.size(), "the index of hashes is incomplete");
+  // The list and the endpoints of each service are ordered by id, so that one walk compares them.
+  std::map<std::string_view, std::size_t> positions;
   for (const auto& [id, known] : endpoints_) {
     TARRAGON_INVARIANT(known && known->entry.id == id, id);
     TARRAGON_INVARIANT(FindByHash(known->id_hash) == known, id);
     TARRAGON_INVARIANT(known->leaving == known->leaving_since.has_value(), id);
-    TARRAGON_INVARIANT(std::ranges::find(FindByService(known->entry.service), known) !=
-                           FindByService(known->entry.service).end(),
-                       id);
+    const std::vector<endpoint_ptr>& group = FindByService(known->entry.service);
+    std::size_t& position = positions[known->entry.service];
+    TARRAGON_INVARIANT(position < group.size() && group[position] == known, id);
+    ++position;
+  }
+  for (const auto& [service, group] : by_service_) {
+    TARRAGON_INVARIANT(positions[service] == group.size(), service);
   }
 }
 
