Exchange loads over links of their own, so that the store's state does not split the tree

Cause: loads travelled on the connections over which rows are relayed. When the store refuses the daemon that reads for a failure domain, its followers change to the deputy, which has no link to the other domains. Every engine seemed to have room: no request waited at a VM, and urgent requests stood 1.3 to 1.7 s in the engines' queues.

Change: load_relay keeps a link to the nearest daemon above it in the planned tree that responds, apart from the link for rows. Links without news carry a message every 0.5 s, and one that is silent for 2.5 s is closed.

Ruled out: prefill speed (62% used), memory of the engines (82% at the height of the burst).

--- a/include/tarragon/gateway/load_relay.h
+++ b/include/tarragon/gateway/load_relay.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,10 @@
 routing::endpoint_load_report MakeLoadReport(time_point now, const routing::endpoint& known);
 
 /**
- * Exchanges the loads at the endpoints over the connections of the relay tree, and over connections
- * between the roots of the failure domains. Used in fleets too large to tell every daemon.
+ * Exchanges the loads at the endpoints over connections of their own, along the planned tree of
+ * each failure domain and between the roots. Used in fleets too large to tell every daemon. The
+ * connections for rows do not serve: a daemon whose source has lost the store follows another one,
+ * or none, which would split the tree or close a cycle in it.
  */
 class load_relay final : public relay_connection_listener {
  public:
@@ -30,7 +33,7 @@
 
   void Start();
 
-  /** Adds a connection of the relay tree, or one that another root has opened. */
+  /** Adds a connection that another daemon has opened. */
   void AddConnection(const std::shared_ptr<relay_connection>& connection,
                      routing::neighbor_kind kind);
   void RemoveConnection(const relay_connection& connection);
@@ -41,6 +44,12 @@
   /** Sets the roots to connect to; empty unless this daemon is a root. */
   void SetRoots(std::vector<std::string> addresses);
 
+  /**
+   * Sets the daemons above this one in the tree, nearest first. The nearest that responds is told
+   * the loads on this daemon's side.
+   */
+  void SetParents(std::vector<std::string> addresses);
+
   /** Tells the neighbors about changed loads after a short delay, which batches the changes. */
   void ScheduleExchange();
 
@@ -49,6 +58,14 @@
   /** Ended requests and finished prefills are told at this interval. */
   static constexpr std::chrono::milliseconds kRefreshInterval{50};
   static constexpr std::chrono::milliseconds kRootRetryDelay{2000};
+  /** Interval of messages on links without news, and of looks for silent ones. */
+  static constexpr std::chrono::milliseconds kLinkCheckInterval{500};
+  /** A link that is silent for longer is closed, and its loads are dropped. */
+  static constexpr std::chrono::milliseconds kLinkLifetime{2500};
+  /** Time in which a daemon above this one must respond before the next one is tried. */
+  static constexpr std::chrono::milliseconds kCandidateTimeout{1000};
+  /** Interval of attempts to return to the nearest daemon above this one. */
+  static constexpr std::chrono::milliseconds kReturnInterval{4000};
   static constexpr std::size_t kMaxLoadsPerMessage = 512;
 
   struct link {
@@ -56,9 +73,18 @@
     std::shared_ptr<relay_connection> connection;
     /** Set if this daemon has opened the connection to another root. */
     std::string root_address;
+    time_point heard_at;
+    time_point sent_at;
+  };
+
+  /** Connection to a daemon above this one in the tree. */
+  struct parent_connection {
+    std::shared_ptr<relay_connection> connection;
+    std::string address;
+    time_point since;
   };
 
-  // relay_connection_listener, for connections to other roots:
+  // relay_connection_listener, for connections that this daemon has opened:
   void OnRelayMessage(relay_connection& connection, relay_message message) override;
   void OnRelayWritten(relay_connection& connection) override;
   void OnRelayClosed(relay_connection& connection) override;
@@ -67,18 +93,33 @@
   void ScheduleRefresh();
   void ScheduleRootRetry();
   void ConnectToRoots();
+  void ScheduleLinkCheck();
+  void CloseSilentLinks();
+  void SendKeepAlives();
+  /** Looks for a parent if there is none, or if a nearer one may be back. */
+  void UpdateParent();
+  void DropCandidate();
+  /** Makes the candidate, which has responded, the parent. */
+  void PromoteCandidate();
   void UpdateOwnLoads();
   void Exchange();
-  void SendChanges(const link& target);
+  void SendChanges(link& target);
 
   gateway_state& gateway_;
   routing::load_exchange exchange_;
   std::map<const relay_connection*, link> links_;
   routing::load_exchange::neighbor_id last_id_ = 0;
   std::vector<std::string> roots_;
+  std::vector<std::string> parents_;
+  std::optional<parent_connection> parent_;
+  /** Is being tried; loads are exchanged with it once it has responded. */
+  std::optional<parent_connection> candidate_;
+  /** Candidates that have failed since there was a parent. */
+  std::size_t failed_candidates_ = 0;
   asio::steady_timer batch_timer_;
   asio::steady_timer refresh_timer_;
   asio::steady_timer root_timer_;
+  asio::steady_timer link_timer_;
   bool exchange_scheduled_ = false;
 };
 
--- a/include/tarragon/gateway/relay_connection.h
+++ b/include/tarragon/gateway/relay_connection.h
@@ -46,6 +46,8 @@
   bool is_open() const { return open_; }
 
   void Close();
+  /** Closes the connection and tells the listener, as after an error. */
+  void Fail();
 
  private:
   /** Time in which the peer must take what was sent; a peer that does not read is dropped. */
@@ -54,7 +56,6 @@
   void Read();
   /** Passes on the messages that are complete. @return false if the connection is useless. */
   bool HandleBytes(std::string_view bytes);
-  void Fail();
 
   asio::ip::tcp::socket socket_;
   asio::steady_timer write_timer_;
--- a/include/tarragon/gateway/relay_message.h
+++ b/include/tarragon/gateway/relay_message.h
@@ -13,11 +13,19 @@
 
 namespace tarragon::gateway {
 
+/** What the daemon that has opened a connection wants. */
+enum class subscription_kind : std::uint8_t {
+  kRows,
+  /** Loads, from the daemon above it in the tree of the failure domain. */
+  kTreeLoads,
+  /** Loads, from the root of another failure domain. */
+  kRootLoads,
+};
+
 /** First message of the daemon that has opened the connection. */
 struct relay_subscription {
   std::string vm;
-  /** The sender is the root of another failure domain and wants loads only. */
-  bool is_root = false;
+  subscription_kind kind = subscription_kind::kRows;
   /** Version of each table that the follower has; 0 if none. */
   std::vector<std::uint64_t> versions;
 };
--- a/include/tarragon/gateway/relay_node.h
+++ b/include/tarragon/gateway/relay_node.h
@@ -61,7 +61,7 @@
  private:
   static constexpr std::chrono::milliseconds kTickInterval{100};
   /** Further followers are turned away; they choose another source. */
-  static constexpr std::size_t kMaxFollowers = 64;
+  static constexpr std::size_t kMaxFollowers = 80;
 
   /** A daemon that has connected to this one: a follower, or the root of another domain. */
   struct follower {
--- a/src/gateway/load_relay.cc
+++ b/src/gateway/load_relay.cc
@@ -36,7 +36,8 @@
     : gateway_(gateway),
       batch_timer_(gateway.loop),
       refresh_timer_(gateway.loop),
-      root_timer_(gateway.loop) {}
+      root_timer_(gateway.loop),
+      link_timer_(gateway.loop) {}
 
 load_relay::~load_relay() {
   for (const link& known : links_ | std::views::values) {
@@ -44,11 +45,16 @@
       known.connection->Close();
     }
   }
+  DropCandidate();
+  if (parent_) {
+    parent_->connection->Close();
+  }
 }
 
 void load_relay::Start() {
   ScheduleRefresh();
   ScheduleRootRetry();
+  ScheduleLinkCheck();
 }
 
 load_relay::link& load_relay::Add(const std::shared_ptr<relay_connection>& connection,
@@ -56,6 +62,7 @@
   link& added = links_[connection.get()];
   added.id = ++last_id_;
   added.connection = connection;
+  added.heard_at = gateway_.time.Now();
   exchange_.AddNeighbor(added.id, kind);
   ScheduleExchange();
   return added;
@@ -84,6 +91,10 @@
   if (found == links_.end()) {
     return;
   }
+  found->second.heard_at = gateway_.time.Now();
+  if (message.changes.empty()) {
+    return;
+  }
   exchange_.Receive(found->second.id, message.changes);
   exchange_.Apply(gateway_.time.Now(), gateway_.endpoints);
   gateway_.counters.Counter("tarragon_gateway_load_messages_total").Add();
@@ -96,6 +107,102 @@
   }
 }
 
+void load_relay::SetParents(std::vector<std::string> addresses) {
+  if (std::exchange(parents_, std::move(addresses)) == parents_) {
+    return;
+  }
+  failed_candidates_ = 0;
+  DropCandidate();
+  if (parent_ && std::ranges::find(parents_, parent_->address) == parents_.end()) {
+    parent_->connection->Fail();
+  }
+  UpdateParent();
+}
+
+void load_relay::UpdateParent() {
+  const time_point now = gateway_.time.Now();
+  if (candidate_ && now >= candidate_->since + kCandidateTimeout) {
+    DropCandidate();
+    ++failed_candidates_;
+  }
+  if (parents_.empty() || candidate_) {
+    return;
+  }
+  const bool is_nearest = parent_ && parent_->address == parents_.front();
+  const bool may_return = !parent_ || now >= parent_->since + kReturnInterval;
+  if (is_nearest || !may_return) {
+    return;
+  }
+  const std::string& address = parents_[parent_ ? 0 : failed_candidates_ % parents_.size()];
+  if (parent_) {
+    parent_->since = now;
+  }
+  const auto target = ParseAddress(address);
+  if (!target) {
+    ++failed_candidates_;
+    return;
+  }
+  candidate_ = {std::make_shared<relay_connection>(asio::ip::tcp::socket(gateway_.loop), *this),
+                address, now};
+  candidate_->connection->Connect(
+      *target, relay_subscription{gateway_.own_vm, subscription_kind::kTreeLoads, {}});
+}
+
+void load_relay::DropCandidate() {
+  if (candidate_) {
+    candidate_->connection->Close();
+    candidate_.reset();
+  }
+}
+
+void load_relay::PromoteCandidate() {
+  if (parent_) {
+    parent_->connection->Close();
+    RemoveConnection(*parent_->connection);
+  }
+  parent_ = std::exchange(candidate_, std::nullopt);
+  parent_->since = gateway_.time.Now();
+  failed_candidates_ = 0;
+  Add(parent_->connection, routing::neighbor_kind::kTree);
+  gateway_.log.LogState("load_parent", {{"address", parent_->address}});
+}
+
+void load_relay::ScheduleLinkCheck() {
+  link_timer_.expires_after(kLinkCheckInterval);
+  link_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      gateway_.RunGuarded("load_links", [this] {
+        CloseSilentLinks();
+        SendKeepAlives();
+        UpdateParent();
+      });
+      ScheduleLinkCheck();
+    }
+  });
+}
+
+void load_relay::CloseSilentLinks() {
+  const time_point now = gateway_.time.Now();
+  std::vector<std::shared_ptr<relay_connection>> silent;
+  for (const link& known : links_ | std::views::values) {
+    if (now >= known.heard_at + kLinkLifetime) {
+      silent.push_back(known.connection);
+    }
+  }
+  std::ranges::for_each(silent, [](const auto& connection) { connection->Fail(); });
+}
+
+void load_relay::SendKeepAlives() {
+  const time_point now = gateway_.time.Now();
+  for (link& known : links_ | std::views::values) {
+    if (now >= known.sent_at + kLinkCheckInterval && known.connection->is_open() &&
+        !known.connection->is_writing()) {
+      known.sent_at = now;
+      known.connection->Send(relay_loads{});
+    }
+  }
+}
+
 void load_relay::SetRoots(std::vector<std::string> addresses) {
   roots_ = std::move(addresses);
   std::vector<std::shared_ptr<relay_connection>> obsolete;
@@ -124,7 +231,8 @@
     const auto connection =
         std::make_shared<relay_connection>(asio::ip::tcp::socket(gateway_.loop), *this);
     Add(connection, routing::neighbor_kind::kRoot).root_address = address;
-    connection->Connect(*target, relay_subscription{gateway_.own_vm, true, {}});
+    connection->Connect(*target,
+                        relay_subscription{gateway_.own_vm, subscription_kind::kRootLoads, {}});
   }
 }
 
@@ -181,12 +289,12 @@
 
 void load_relay::Exchange() {
   UpdateOwnLoads();
-  for (const link& target : links_ | std::views::values) {
+  for (link& target : links_ | std::views::values) {
     SendChanges(target);
   }
 }
 
-void load_relay::SendChanges(const link& target) {
+void load_relay::SendChanges(link& target) {
   if (!target.connection->is_open() || target.connection->is_writing() ||
       !exchange_.HasChanges(target.id)) {
     return;
@@ -194,12 +302,16 @@
   std::vector<routing::endpoint_load_report> changes =
       exchange_.TakeChanges(target.id, kMaxLoadsPerMessage);
   if (!changes.empty()) {
+    target.sent_at = gateway_.time.Now();
     target.connection->Send(relay_loads{std::move(changes)});
   }
 }
 
 void load_relay::OnRelayMessage(relay_connection& connection, relay_message message) {
   if (const auto* loads = std::get_if<relay_loads>(&message)) {
+    if (candidate_ && candidate_->connection.get() == &connection) {
+      PromoteCandidate();
+    }
     OnLoads(connection, *loads);
   }
 }
@@ -209,7 +321,16 @@
 }
 
 void load_relay::OnRelayClosed(relay_connection& connection) {
+  if (candidate_ && candidate_->connection.get() == &connection) {
+    candidate_.reset();
+    ++failed_candidates_;
+    return;
+  }
   RemoveConnection(connection);
+  if (parent_ && parent_->connection.get() == &connection) {
+    parent_.reset();
+    UpdateParent();
+  }
 }
 
 }  // namespace tarragon::gateway
--- a/src/gateway/relay_message.cc
+++ b/src/gateway/relay_message.cc
@@ -33,7 +33,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, relay_subscription& message) {
-  archive(message.vm, message.is_root, message.versions);
+  archive(message.vm, message.kind, message.versions);
 }
 
 template <class Archive>
@@ -44,7 +44,7 @@
 namespace {
 
 /** Checksum seed; must change with the message format. */
-constexpr std::uint64_t kFormat = 0x74676c73;
+constexpr std::uint64_t kFormat = 0x74676c74;
 constexpr std::size_t kLengthBytes = 4;
 
 std::size_t ReadLength(std::string_view bytes) {
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -84,6 +84,7 @@
   // The replica that reports the members is still being updated.
   asio::post(gateway_.loop, [this] {
     loads_.SetRoots(selector_.plan().peer_roots);
+    loads_.SetParents(selector_.plan().sources);
     Update();
   });
 }
@@ -193,7 +194,8 @@
     link_address_.clear();
     return;
   }
-  relay_subscription subscription{.vm = gateway_.own_vm, .is_root = false, .versions = {}};
+  relay_subscription subscription{
+      .vm = gateway_.own_vm, .kind = subscription_kind::kRows, .versions = {}};
   std::ranges::transform(tables_, std::back_inserter(subscription.versions),
                          [](const relayed_table& table) {
                            const table_replica& replica = table.replica;
@@ -201,12 +203,10 @@
                          });
   link_ = std::make_shared<relay_connection>(asio::ip::tcp::socket(gateway_.loop), *this);
   link_->Connect(*target, subscription);
-  loads_.AddConnection(link_, routing::neighbor_kind::kTree);
 }
 
 void relay_node::CloseLink() {
   if (link_) {
-    loads_.RemoveConnection(*link_);
     link_->Close();
     link_.reset();
   }
@@ -265,9 +265,10 @@
   }
   follower& known = found->second;
   known.vm = std::move(message.vm);
-  loads_.AddConnection(known.connection, message.is_root ? routing::neighbor_kind::kRoot
-                                                         : routing::neighbor_kind::kTree);
-  if (message.is_root) {
+  if (message.kind != subscription_kind::kRows) {
+    loads_.AddConnection(known.connection, message.kind == subscription_kind::kRootLoads
+                                               ? routing::neighbor_kind::kRoot
+                                               : routing::neighbor_kind::kTree);
     return;
   }
   known.sent = std::move(message.versions);
--- a/tests/gateway/relay_message_test.cc
+++ b/tests/gateway/relay_message_test.cc
@@ -21,7 +21,8 @@
 // Guards against a field that is lost or swapped, and against frames that are joined or split.
 RC_GTEST_PROP(RelayMessageTest, FramesSurviveAnySplit, ()) {
   const std::string bytes =
-      EncodeFrame(relay_subscription{"vm-1", false, {3, 0, 5}}) + EncodeFrame(MakeUpdate());
+      EncodeFrame(relay_subscription{"vm-1", subscription_kind::kRows, {3, 0, 5}}) +
+      EncodeFrame(MakeUpdate());
   const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
   relay_frame_reader reader;
   std::vector<relay_message> messages;
