Evacuation: send nothing new to endpoints of an evacuated failure domain

Cause: the operator's rows that order a failure domain to be evacuated were relayed to all daemons, and no part read them.

Change: the adapter reads the failure domain from a row's key, config_updater applies the orders, and evacuation_list keeps them with the versions of their rows, so that late, repeated and reordered rows and reads change nothing. endpoint_registry marks the endpoints of the domain, also those that are listed later, and endpoint::accepts_work() is false for them; all paths ask it. A service whose endpoints are all evacuated refuses at once.

Ruled out: marking the endpoints as leaving, which would copy all their streams away and could not be undone for the same incarnation.

Tests: routing and platform tests of the changed parts, 55 tests of the gateway.

--- a/include/tarragon/gateway/config_updater.h
+++ b/include/tarragon/gateway/config_updater.h
@@ -1,6 +1,8 @@
 #ifndef TARRAGON_GATEWAY_CONFIG_UPDATER_H_
 #define TARRAGON_GATEWAY_CONFIG_UPDATER_H_
 
+#include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -9,7 +11,10 @@
 
 namespace tarragon::gateway {
 
-/** Applies configurations from the store. Never replaces a configuration with an older version. */
+/**
+ * Applies the operator's rows: the configuration, which is never replaced with an older version,
+ * and the orders to evacuate failure domains.
+ */
 class config_updater final : public table_listener {
  public:
   explicit config_updater(gateway_state& gateway) : gateway_(gateway) {}
@@ -20,7 +25,16 @@
   void OnStoreRegained() override;
 
  private:
-  void ApplyRow(const table_row& row);
+  void ApplyRow(const table_row& row, const table_position& position);
+  void ApplyConfig(const table_row& row);
+  void ApplyEvacuation(const std::string& failure_domain,
+                       const table_row& row,
+                       const table_position& position);
+  void EndUnlistedEvacuations(const std::vector<table_row>& rows, const table_position& position);
+  void LogEvacuation(std::string_view event,
+                     const std::string& failure_domain,
+                     std::uint64_t row_version,
+                     const table_position& position);
 
   gateway_state& gateway_;
 };
--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -146,6 +146,11 @@
 
   virtual std::string_view ConfigTable() const = 0;
   virtual std::string_view ConfigKey() const = 0;
+  /**
+   * @param key key of a row of the table that holds the configuration.
+   * @return the failure domain that the row orders to be evacuated; empty for other rows.
+   */
+  virtual std::optional<std::string> ReadEvacuatedDomain(std::string_view key) const = 0;
   virtual std::string_view EndpointTable() const = 0;
 
   /** @param from first key to read; empty for the start of the table. */
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -14,6 +14,7 @@
 
 #include "tarragon/base/clock.h"
 #include "tarragon/routing/endpoint_pause.h"
+#include "tarragon/routing/evacuation_list.h"
 #include "tarragon/routing/event_interval_tracker.h"
 #include "tarragon/routing/rate_limit.h"
 #include "tarragon/routing/slowness_tracker.h"
@@ -76,6 +77,8 @@
   /** In the store's list, or missing from it only because of an outage of the store. */
   bool listed = true;
   bool leaving = false;
+  /** Its failure domain is evacuated by an order of the operator. */
+  bool evacuated = false;
   time_point listed_at;
   /** When this daemon first learned that the endpoint is leaving. */
   std::optional<time_point> leaving_since;
@@ -96,7 +99,7 @@
   /** Sum of the loads that the other daemons reported last. */
   endpoint_load peer_load;
 
-  bool accepts_work() const { return listed && !leaving; }
+  bool accepts_work() const { return listed && !leaving && !evacuated; }
 };
 
 using endpoint_ptr = std::shared_ptr<endpoint>;
@@ -148,6 +151,25 @@
    */
   void MarkSuccessorsLeaving(time_point now, const endpoint& target);
 
+  /**
+   * Applies the operator's order to evacuate a failure domain. Its endpoints, and those that are
+   * listed later, accept no work. @return whether the order was not in force before.
+   */
+  bool BeginEvacuation(std::uint64_t row_version, const std::string& failure_domain);
+
+  /** Applies the deletion of an order. @return whether the order was in force before. */
+  bool EndEvacuation(std::uint64_t row_version, const std::string& failure_domain);
+
+  /**
+   * Ends the evacuations that a complete list of orders lacks.
+   * @param listed all failure domains of the list.
+   * @return the domains that are no longer evacuated.
+   */
+  std::vector<std::string> EndUnlistedEvacuations(std::uint64_t version,
+                                                  const std::vector<std::string>& listed);
+
+  const evacuation_list& evacuations() const { return evacuations_; }
+
   /** While the store is unavailable, missing endpoints are kept. */
   void OnStoreUnavailable(time_point now);
   void OnStoreRecovered(time_point now);
@@ -169,6 +191,7 @@
  private:
   void BeginLeaving(time_point now, const endpoint_ptr& target, leaving_source source);
   void Drop(time_point now, const std::string& id);
+  void MarkEvacuated(const std::string& failure_domain, bool is_evacuated);
   void AddToIndices(const endpoint_ptr& known);
   void RemoveFromIndices(const endpoint_ptr& known);
   /** @return the endpoint's position in the endpoints of its service, which are ordered by id. */
@@ -186,6 +209,7 @@
   std::map<std::string, time_point> missing_since_;
   /** Versions of deleted rows; an older row must not restore a deleted endpoint. */
   std::map<std::string, std::uint64_t> tombstones_;
+  evacuation_list evacuations_;
   bool store_unavailable_ = false;
   std::optional<time_point> store_recovered_at_;
 };
--- a/src/gateway/config_updater.cc
+++ b/src/gateway/config_updater.cc
@@ -1,24 +1,75 @@
 #include "tarragon/gateway/config_updater.h"
 
 #include <algorithm>
+#include <chrono>
+#include <ranges>
 #include <utility>
 
 namespace tarragon::gateway {
 
 void config_updater::OnTable(const std::vector<table_row>& rows, const table_position& position) {
   OnChanges(rows, position);
+  gateway_.RunGuarded("evacuations", [&] { EndUnlistedEvacuations(rows, position); });
 }
 
-void config_updater::OnChanges(const std::vector<table_row>& rows, const table_position&) {
-  std::ranges::for_each(rows, [this](const table_row& row) {
-    gateway_.RunGuarded("config_row", [&] { ApplyRow(row); });
+void config_updater::OnChanges(const std::vector<table_row>& rows, const table_position& position) {
+  std::ranges::for_each(rows, [&](const table_row& row) {
+    gateway_.RunGuarded("config_row", [&] { ApplyRow(row, position); });
   });
 }
 
-void config_updater::ApplyRow(const table_row& row) {
-  if (row.key != gateway_.adapter.ConfigKey() || row.deleted) {
-    return;
+void config_updater::ApplyRow(const table_row& row, const table_position& position) {
+  if (const auto failure_domain = gateway_.adapter.ReadEvacuatedDomain(row.key)) {
+    ApplyEvacuation(*failure_domain, row, position);
+  } else if (row.key == gateway_.adapter.ConfigKey() && !row.deleted) {
+    ApplyConfig(row);
+  }
+}
+
+void config_updater::ApplyEvacuation(const std::string& failure_domain,
+                                     const table_row& row,
+                                     const table_position& position) {
+  const bool has_changed = row.deleted
+                               ? gateway_.endpoints.EndEvacuation(row.version, failure_domain)
+                               : gateway_.endpoints.BeginEvacuation(row.version, failure_domain);
+  if (has_changed) {
+    LogEvacuation(row.deleted ? "evacuation_ended" : "evacuation_begun", failure_domain,
+                  row.version, position);
+  }
+}
+
+void config_updater::EndUnlistedEvacuations(const std::vector<table_row>& rows,
+                                            const table_position& position) {
+  std::vector<std::string> listed;
+  for (const table_row& row : rows) {
+    if (auto failure_domain = gateway_.adapter.ReadEvacuatedDomain(row.key);
+        failure_domain && !row.deleted) {
+      listed.push_back(*std::move(failure_domain));
+    }
+  }
+  for (const std::string& failure_domain :
+       gateway_.endpoints.EndUnlistedEvacuations(position.version, listed)) {
+    LogEvacuation("evacuation_ended", failure_domain, position.version, position);
   }
+}
+
+void config_updater::LogEvacuation(std::string_view event,
+                                   const std::string& failure_domain,
+                                   std::uint64_t row_version,
+                                   const table_position& position) {
+  const auto endpoints = std::ranges::count_if(
+      gateway_.endpoints.all() | std::views::values, [&](const routing::endpoint_ptr& known) {
+        return known->entry.failure_domain == failure_domain;
+      });
+  const duration age = gateway_.store_time.Age(gateway_.time.Now(), position.store_time);
+  gateway_.log.LogState(
+      event, {{"failure_domain", failure_domain},
+              {"row_version", row_version},
+              {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
+              {"endpoints", endpoints}});
+}
+
+void config_updater::ApplyConfig(const table_row& row) {
   decode_result<routing::service_config_ptr> decoded = gateway_.adapter.DecodeConfig(row.value);
   if (!decoded) {
     gateway_.log.LogState("config_unreadable",
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -45,6 +45,7 @@
   const time_point now = time.Now();
   endpoints.RemoveMissing(now);
   endpoints.Validate();
+  endpoints.evacuations().Validate();
   quarantine.Expire(now);
   quarantine.Validate();
   const auto set_count = [this](const char* gauge, auto predicate) {
@@ -58,10 +59,13 @@
             [](const endpoint_ptr& known) { return known->leaving; });
   set_count("tarragon_gateway_paused_endpoints",
             [now](const endpoint_ptr& known) { return known->pause.IsPaused(now); });
+  set_count("tarragon_gateway_evacuated_endpoints",
+            [](const endpoint_ptr& known) { return known->evacuated; });
   const auto set = [this](const char* gauge, auto value) {
     counters.Gauge(gauge).Set(static_cast<std::int64_t>(value));
   };
   set("tarragon_gateway_quarantined_traits", quarantine.quarantined_count());
+  set("tarragon_gateway_evacuated_domains", endpoints.evacuations().evacuated_count());
   set("tarragon_gateway_open_requests", open_requests.size());
   set("tarragon_gateway_unsent_connections", unsent_connections);
   set("tarragon_gateway_config_version", config ? config->version() : 0);
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -68,6 +68,7 @@
   }
   known->row_version = row_version;
   known->entry = std::move(entry);
+  known->evacuated = evacuations_.IsEvacuated(known->entry.failure_domain);
   if (!same_incarnation) {
     AddToIndices(known);
   }
@@ -133,6 +134,41 @@
   });
 }
 
+bool endpoint_registry::BeginEvacuation(std::uint64_t row_version,
+                                        const std::string& failure_domain) {
+  const bool has_begun = evacuations_.Begin(failure_domain, row_version);
+  if (has_begun) {
+    MarkEvacuated(failure_domain, true);
+  }
+  return has_begun;
+}
+
+bool endpoint_registry::EndEvacuation(std::uint64_t row_version,
+                                      const std::string& failure_domain) {
+  const bool has_ended = evacuations_.End(failure_domain, row_version);
+  if (has_ended) {
+    MarkEvacuated(failure_domain, false);
+  }
+  return has_ended;
+}
+
+std::vector<std::string> endpoint_registry::EndUnlistedEvacuations(
+    std::uint64_t version,
+    const std::vector<std::string>& listed) {
+  std::vector<std::string> ended = evacuations_.EndUnlisted(version, listed);
+  std::ranges::for_each(
+      ended, [this](const std::string& failure_domain) { MarkEvacuated(failure_domain, false); });
+  return ended;
+}
+
+void endpoint_registry::MarkEvacuated(const std::string& failure_domain, bool is_evacuated) {
+  for (const endpoint_ptr& known : endpoints_ | std::views::values) {
+    if (known->entry.failure_domain == failure_domain) {
+      known->evacuated = is_evacuated;
+    }
+  }
+}
+
 void endpoint_registry::OnStoreUnavailable(time_point) {
   store_unavailable_ = true;
 }
--- a/tests/emulator/endpoint_emulator.h
+++ b/tests/emulator/endpoint_emulator.h
@@ -30,6 +30,7 @@
 
 struct endpoint_options {
   std::string id;
+  std::string failure_domain;
   /** Time between two events of a stream. */
   std::chrono::milliseconds event_interval{5};
   /** Time from a plain call to its response. */
@@ -59,6 +60,7 @@
   ~endpoint_emulator();
 
   const std::string& id() const { return options_.id; }
+  const std::string& failure_domain() const { return options_.failure_domain; }
   std::string address() const { return service_.address(); }
 
   /** @param per_second rate that the endpoint names in its answers; empty for none. */
--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -94,6 +94,7 @@
 void fleet_emulator::AddEndpoint(const std::string& service) {
   endpoint_options options;
   options.id = fmt::format("{}-{}", service, ++last_endpoint_);
+  options.failure_domain = fmt::format("domain-{}", last_endpoint_ % options_.endpoint_domains);
   options.seed = random_();
   options.event_interval = options_.event_interval;
   if (service == kPlain) {
@@ -129,7 +130,7 @@
                                      bool leaving) {
   const nlohmann::json entry = {{"service", service},
                                 {"address", endpoint.address()},
-                                {"zone", "domain-0"},
+                                {"zone", endpoint.failure_domain()},
                                 {"version", "v1"},
                                 {"slots", 24},
                                 {"state", leaving ? "draining" : "ready"},
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -22,6 +22,8 @@
   std::size_t gateways = 3;
   std::size_t engines = 5;
   std::size_t plain_endpoints = 2;
+  /** Failure domains over which the endpoints are spread; the gateways use three. */
+  std::size_t endpoint_domains = 1;
   endpoint_faults plain_faults;
   /** Prompt part that crashes each engine which begins to answer a request with it. */
   std::string crashing_part;
--- a/tests/gateway/request_handler_test.cc
+++ b/tests/gateway/request_handler_test.cc
@@ -98,6 +98,24 @@
   EXPECT_EQ(response.status, 502);
 }
 
+// Guards against a recovery at an endpoint whose failure domain is evacuated: no wait or loss of
+// the first endpoint excuses a new request there.
+TEST_F(request_handler_test, RecoveryAvoidsEvacuatedDomains) {
+  scripted_endpoint broken(loop, [](auto& c) { c.Reset(); });
+  scripted_endpoint evacuated(loop, [](auto& c) { c.Send(MakeResponse("200 OK", "ok")); });
+  ListEndpoint("e1", "calls", broken.address());
+  routing::endpoint_entry entry = gateway.endpoints.Find("e1")->entry;
+  entry.id = "e2";
+  entry.address = evacuated.address();
+  entry.failure_domain = "other";
+  gateway.endpoints.Put(time.Now(), ++row_version, entry);
+  gateway.endpoints.BeginEvacuation(++row_version, "other");
+  const auto handler = Start("GET", "/safe/1");
+  ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_EQ(response.status, 502);
+  EXPECT_TRUE(evacuated.connections.empty());
+}
+
 // Guards against failing an unsafe request that a full endpoint declined without running it and
 // that another one could run.
 TEST_F(request_handler_test, DeclinedUnsafeGoesToAnotherEndpoint) {
--- a/tests/platform/table_platform_test.cc
+++ b/tests/platform/table_platform_test.cc
@@ -31,6 +31,14 @@
 
 const table_platform kPlatform;
 
+// Guards against an order to evacuate a failure domain that is not recognized, and against one that
+// is read from another row.
+TEST(TablePlatformTest, ReadsTheEvacuatedDomain) {
+  EXPECT_EQ(kPlatform.ReadEvacuatedDomain("evacuate/zone-1"), "zone-1");
+  EXPECT_EQ(kPlatform.ReadEvacuatedDomain("evacuate/"), std::nullopt);
+  EXPECT_EQ(kPlatform.ReadEvacuatedDomain("config"), std::nullopt);
+}
+
 // Guards against a field of the configuration that is ignored because of a wrong name or type, so
 // that its default applies.
 TEST(TablePlatformTest, ReadsAConfiguration) {
