--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -45,6 +45,7 @@
   const time_point now = time.Now();
   endpoints.RemoveMissing(now);
   endpoints.Validate();
+  endpoints.evacuations().Validate();
   quarantine.Expire(now);
   quarantine.Validate();
   const auto set = [this](const char* gauge, auto value) {
@@ -53,15 +54,19 @@
   std::size_t limited = 0;
   std::size_t leaving = 0;
   std::size_t paused = 0;
+  std::size_t evacuated = 0;
   for (const routing::endpoint_ptr& known : endpoints.all() | std::views::values) {
     limited += known->limit.is_limited() ? 1 : 0;
     leaving += known->leaving ? 1 : 0;
     paused += known->pause.IsPaused(now) ? 1 : 0;
+    evacuated += known->evacuated ? 1 : 0;
   }
   set("tarragon_gateway_limited_endpoints", limited);
   set("tarragon_gateway_leaving_endpoints", leaving);
   set("tarragon_gateway_paused_endpoints", paused);
+  set("tarragon_gateway_evacuated_endpoints", evacuated);
   set("tarragon_gateway_quarantined_traits", quarantine.quarantined_count());
+  set("tarragon_gateway_evacuated_domains", endpoints.evacuations().evacuated_count());
   set("tarragon_gateway_open_requests", open_requests.size());
   set("tarragon_gateway_unsent_connections", unsent_connections);
   set("tarragon_gateway_config_version", config ? config->version() : 0);
