Reserve the ports of test gateways until their processes start

The search bound a free port, released it and left it to the gateway to bind it again. Whoever took the port in between kept the gateway from listening: it exited at once and the test waited 20 s for it. The search now also looks at the UDP port, which a gateway needs beside the TCP port. The socket of the search stays bound, with SO_REUSEADDR set only after its bind, so that the gateway can listen but no other search can bind. Ruled out: ports of the ephemeral range (the blocks lie below it).

--- a/tests/emulator/gateway_child.cc
+++ b/tests/emulator/gateway_child.cc
@@ -9,7 +9,8 @@
 
 #include <array>
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/socket_base.hpp>
 #include <csignal>
 #include <cstdint>
 #include <filesystem>
@@ -46,38 +47,52 @@
   return 0;
 }
 
-/** @return loopback addresses with free ports. */
-std::vector<std::string> FindFreeAddresses(std::size_t count) {
+/** @return whether no socket is bound to the UDP port, which a gateway uses beside the TCP port. */
+bool IsUdpPortFree(asio::io_context& loop, std::uint16_t port) {
+  asio::ip::udp::socket socket(loop, asio::ip::udp::v4());
+  asio::error_code error;
+  socket.bind({asio::ip::address_v4::loopback(), port}, error);
+  return !error;
+}
+
+/** @return sockets that reserve free ports for a process that sets `SO_REUSEADDR`. */
+std::vector<asio::ip::tcp::acceptor> ReservePorts(asio::io_context& loop, std::size_t count) {
   static const unsigned kBlockStart = ClaimPortBlock();
   static unsigned next_port = 0;
-  asio::io_context loop;
-  std::vector<std::string> addresses;
-  while (addresses.size() < count) {
+  std::vector<asio::ip::tcp::acceptor> reserved;
+  while (reserved.size() < count) {
     const auto port = static_cast<std::uint16_t>(kBlockStart + next_port++ % kPortsPerBlock);
     asio::ip::tcp::acceptor acceptor(loop, asio::ip::tcp::v4());
-    asio::error_code bind_error;
-    acceptor.bind({asio::ip::address_v4::loopback(), port}, bind_error);
-    if (!bind_error) {
-      addresses.push_back(fmt::format("127.0.0.1:{}", port));
+    asio::error_code error;
+    acceptor.bind({asio::ip::address_v4::loopback(), port}, error);
+    if (!error && IsUdpPortFree(loop, port)) {
+      // Set only now: with this option, two searches could bind the same port.
+      acceptor.set_option(asio::socket_base::reuse_address(true));
+      reserved.push_back(std::move(acceptor));
     }
   }
-  return addresses;
+  return reserved;
+}
+
+std::string AddressOf(const asio::ip::tcp::acceptor& acceptor) {
+  return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
 }
 
 }  // namespace
 
-gateway_child::gateway_child(gateway_options options) : options_(std::move(options)) {
-  const std::vector<std::string> addresses = FindFreeAddresses(3);
-  callers_address_ = addresses[0];
-  readiness_address_ = addresses[1];
+gateway_child::gateway_child(gateway_options options)
+    : options_(std::move(options)),
+      reserved_(ReservePorts(loop_, 3)),
+      callers_address_(AddressOf(reserved_[0])),
+      readiness_address_(AddressOf(reserved_[1])) {
   settings_file_ = options_.folder + "/" + options_.name + ".toml";
   std::ofstream(settings_file_) << fmt::format(
       "[vm]\nname = \"{}\"\nfailure_domain = \"{}\"\n"
       "[listen]\ncallers = \"{}\"\nreadiness = \"{}\"\npeers = \"{}\"\n"
       "[store]\naddress = \"{}\"\n[shutdown]\ngrace_s = 8\n"
       "[retries]\nshare = 0.2\nslack = 60\nwindow_s = 10\n",
-      options_.name, options_.failure_domain, callers_address_, readiness_address_, addresses[2],
-      options_.store_address);
+      options_.name, options_.failure_domain, callers_address_, readiness_address_,
+      AddressOf(reserved_[2]), options_.store_address);
 }
 
 gateway_child::~gateway_child() {
--- a/tests/emulator/gateway_child.h
+++ b/tests/emulator/gateway_child.h
@@ -3,7 +3,10 @@
 
 #include <sys/types.h>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <string>
+#include <vector>
 
 namespace tarragon::emulator {
 
@@ -39,6 +42,9 @@
 
  private:
   gateway_options options_;
+  asio::io_context loop_;
+  /** Keep other processes from binding the ports while the gateway does not run. */
+  std::vector<asio::ip::tcp::acceptor> reserved_;
   std::string callers_address_;
   std::string readiness_address_;
   std::string settings_file_;
