Validate the indices of the list only after changes of the list

The indices are private and change with the list's revision alone; the state of each endpoint is still checked each time. A gauge shows the used endpoints.

--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -166,7 +166,15 @@
 
   void Validate() const;
 
+  /**
+   * Same, but checks the indices only if the list has changed since the last call, as nothing else
+   * changes them. For frequent calls with long lists.
+   */
+  void ValidateChanges();
+
  private:
+  static void ValidateState(const std::string& id, const endpoint_ptr& known);
+  void ValidateIndices() const;
   void BeginLeaving(time_point now, const endpoint_ptr& target, leaving_source source);
   void Drop(time_point now, const std::string& id);
   void AddToIndices(const endpoint_ptr& known);
@@ -182,6 +190,8 @@
   std::map<std::string, std::vector<endpoint_ptr>, std::less<>> by_service_;
   std::unordered_map<std::uint64_t, endpoint_ptr> by_hash_;
   std::uint64_t list_revision_ = 0;
+  /** Revision of the list at which `ValidateChanges` has checked the indices. */
+  std::uint64_t validated_revision_ = 0;
   /** Ids of missing entries, with the time at which each was found missing. */
   std::map<std::string, time_point> missing_since_;
   /** Versions of deleted rows; an older row must not restore a deleted endpoint. */
--- a/include/tarragon/routing/used_endpoints.h
+++ b/include/tarragon/routing/used_endpoints.h
@@ -35,6 +35,9 @@
    */
   const std::vector<endpoint_ptr>& Collect(time_point now, const endpoint_registry& registry);
 
+  /** @return number of endpoints that the last call of `Collect` returned or were added since. */
+  std::size_t size() const { return endpoints_.size(); }
+
  private:
   void Scan(const endpoint_registry& registry);
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -44,7 +44,7 @@
 void gateway_state::KeepHouse() {
   const time_point now = time.Now();
   endpoints.RemoveMissing(now);
-  endpoints.Validate();
+  endpoints.ValidateChanges();
   quarantine.Expire(now);
   quarantine.Validate();
   const auto set = [this](const char* gauge, auto value) {
@@ -61,6 +61,7 @@
   set("tarragon_gateway_limited_endpoints", limited);
   set("tarragon_gateway_leaving_endpoints", leaving);
   set("tarragon_gateway_paused_endpoints", paused);
+  set("tarragon_gateway_used_endpoints", used_endpoints.size());
   set("tarragon_gateway_quarantined_traits", quarantine.quarantined_count());
   set("tarragon_gateway_open_requests", open_requests.size());
   set("tarragon_gateway_unsent_connections", unsent_connections);
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -222,13 +222,33 @@
 }
 
 void endpoint_registry::Validate() const {
+  ValidateIndices();
+  for (const auto& [id, known] : endpoints_) {
+    ValidateState(id, known);
+  }
+}
+
+void endpoint_registry::ValidateChanges() {
+  for (const auto& [id, known] : endpoints_) {
+    ValidateState(id, known);
+  }
+  if (validated_revision_ != list_revision_) {
+    ValidateIndices();
+    validated_revision_ = list_revision_;
+  }
+}
+
+void endpoint_registry::ValidateState(const std::string& id, const endpoint_ptr& known) {
+  TARRAGON_INVARIANT(known && known->entry.id == id, id);
+  TARRAGON_INVARIANT(known->leaving == known->leaving_since.has_value(), id);
+}
+
+void endpoint_registry::ValidateIndices() const {
   TARRAGON_INVARIANT(by_hash_.size() == endpoints_.size(), "the index of hashes is incomplete");
   // The list and the endpoints of each service are ordered by id, so that one walk compares them.
   std::map<std::string_view, std::size_t> positions;
   for (const auto& [id, known] : endpoints_) {
-    TARRAGON_INVARIANT(known && known->entry.id == id, id);
-    TARRAGON_INVARIANT(FindByHash(known->id_hash) == known, id);
-    TARRAGON_INVARIANT(known->leaving == known->leaving_since.has_value(), id);
+    TARRAGON_INVARIANT(known && FindByHash(known->id_hash) == known, id);
     const std::vector<endpoint_ptr>& group = FindByService(known->entry.service);
     std::size_t& position = positions[known->entry.service];
     TARRAGON_INVARIANT(position < group.size() && group[position] == known, id);
