--- a/bench/routing/endpoint_registry_bench.cc
+++ b/bench/routing/endpoint_registry_bench.cc
@@ -21,4 +21,19 @@
 }
 BENCHMARK(BM_ReadList)->Arg(100)->Arg(1000)->Arg(3000)->Unit(benchmark::kMillisecond);
 
+/** Validates a list whose endpoints belong to one service; the argument is their number. */
+static void BM_Validate(benchmark::State& state) {
+  endpoint_registry registry;
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    endpoint_entry entry;
+    entry.id = fmt::format("engine-{}", i);
+    entry.service = "engines";
+    registry.Put(time_point{}, 1, entry);
+  }
+  for ([[maybe_unused]] auto step : state) {
+    registry.Validate();
+  }
+}
+BENCHMARK(BM_Validate)->Arg(100)->Arg(1000)->Arg(3000)->Unit(benchmark::kMicrosecond);
+
 }  // namespace tarragon::routing
