Tell the fleet which endpoints refuse connections

While the store is unavailable each daemon connected to ended engines once a second by itself. A refused connection is now a statement with the endpoint's incarnation and row version. Statements merge as a join and travel by gossip datagrams; one witness keeps an endpoint out of use for 1 s, two for 4 to 8 s, and a response undoes it. At most half of a service's endpoints are taken out of use by refusals and by departures that only other daemons reported; the sole endpoint of a service may still leave by such a report, as an existing test requires.

Attempts that time out are no statement, since they also occur while a daemon is cut off. A removal until the store returns was ruled out: it loses endpoints that restart.

--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -19,6 +20,7 @@
 #include "tarragon/gateway/event_log.h"
 #include "tarragon/gateway/platform_adapter.h"
 #include "tarragon/routing/crash_quarantine.h"
+#include "tarragon/routing/endpoint_evidence.h"
 #include "tarragon/routing/endpoint_picker.h"
 #include "tarragon/routing/endpoint_registry.h"
 #include "tarragon/routing/generation_pace.h"
@@ -62,6 +64,13 @@
   }
   void ReportUnexpectedError(std::string_view part, const std::exception& error);
 
+  /** Records that the endpoint has refused a connection, and tells the other daemons. */
+  void RecordRefused(const routing::endpoint& refusing);
+  /** Records that the endpoint has sent a part of a response. */
+  void RecordAnswer(routing::endpoint& responding);
+  /** Adds what another daemon has learned about endpoints. */
+  void MergeEvidence(std::span<const routing::endpoint_statement> statements);
+
   /** Drops what has expired and sets the gauges; called several times a second. */
   void KeepHouse();
 
@@ -86,6 +95,7 @@
   routing::service_config_ptr config;
   routing::endpoint_registry endpoints;
   routing::store_clock store_time;
+  routing::endpoint_evidence evidence;
   routing::endpoint_picker picker;
   routing::crash_quarantine quarantine;
   std::mt19937_64 random;
@@ -106,10 +116,14 @@
   std::size_t unsent_connections = 0;
   /** Called after a request has been sent to an endpoint. */
   std::function<void()> on_request_sent;
+  /** Called after this daemon has learned something about an endpoint that others should know. */
+  std::function<void()> on_evidence;
   /** Called after a request has finished or a connection has sent all its response bytes. */
   std::function<void()> on_work_done;
 
  private:
+  void ApplyEvidence();
+
   /** Assumed until the daemon table has been read: more than existing fleets have. */
   static constexpr std::size_t kAssumedDaemons = 16;
 
--- a/include/tarragon/gateway/http_exchange.h
+++ b/include/tarragon/gateway/http_exchange.h
@@ -19,6 +19,8 @@
 enum class exchange_error : std::uint8_t {
   /** No connection was established, so no byte was sent. */
   kConnectFailed,
+  /** Same, as nothing listens at the address. */
+  kRefused,
   /** The connection closed before the response was complete. */
   kLost,
   /** The received bytes are not a valid HTTP response. */
--- a/include/tarragon/gateway/load_gossip.h
+++ b/include/tarragon/gateway/load_gossip.h
@@ -54,6 +54,9 @@
    */
   void ScheduleReport();
 
+  /** Sends what is new about endpoints after `kBatchDelay`. */
+  void ScheduleEvidence();
+
  private:
   /** Interval of regular reports; a decreased load is reported only by these. */
   static constexpr std::chrono::milliseconds kReportInterval{100};
@@ -78,6 +81,7 @@
   void Tick();
   void SendReport();
   void SendCrashRecords();
+  void SendEvidence();
   /** Sends to `count` random daemons, or to all if there are no more. */
   void SendToSome(const std::string& datagram, std::size_t count);
   routing::peer_report OwnReport();
@@ -108,6 +112,8 @@
   time_point quarantine_repeated_at_;
   asio::steady_timer report_timer_;
   bool report_scheduled_ = false;
+  asio::steady_timer evidence_timer_;
+  bool evidence_scheduled_ = false;
   bool carries_loads_ = true;
 };
 
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -77,6 +77,12 @@
   bool listed = true;
   bool leaving = false;
   time_point listed_at;
+  /** Only other daemons have said that it leaves. */
+  bool leaving_by_hearsay = false;
+  /** Its address refuses connections, as found by `endpoint_evidence`. */
+  bool unreachable = false;
+  /** Time of the endpoint's last response or event to this daemon. */
+  time_point last_answer_at;
   /** When this daemon first learned that the endpoint is leaving. */
   std::optional<time_point> leaving_since;
   /** Version of the row that was applied last. */
@@ -96,7 +102,7 @@
   /** Sum of the loads that the other daemons reported last. */
   endpoint_load peer_load;
 
-  bool accepts_work() const { return listed && !leaving; }
+  bool accepts_work() const { return listed && !leaving && !unreachable; }
 };
 
 using endpoint_ptr = std::shared_ptr<endpoint>;
@@ -130,7 +136,9 @@
   void RemoveUnlisted(time_point now, std::uint64_t version, const std::vector<std::string>& ids);
 
   /**
-   * Marks an endpoint as leaving as reported by another daemon. Ignored if a newer row is known.
+   * Marks an endpoint as leaving as reported by another daemon. Ignored if a newer row is known, or
+   * if other daemons alone have taken half of the service's endpoints out of use already. The only
+   * endpoint of a service may leave.
    * @param id_hash XXH3 hash of the endpoint's id.
    */
   void MarkLeaving(time_point now, std::uint64_t id_hash, std::uint64_t row_version);
@@ -162,6 +170,12 @@
   endpoint_ptr FindByHash(std::uint64_t id_hash) const;
   /** @return a number that changes whenever an endpoint is added, replaced or removed. */
   std::uint64_t list_revision() const { return list_revision_; }
+  /**
+   * @return how many endpoints of the service may be out of use only because other daemons say so
+   *     or because they refuse connections, less those that leave by hearsay: half of those listed,
+   *     rounded down, so that no daemon can take all endpoints from another.
+   */
+  std::size_t CountExcludableByHearsay(std::string_view service) const;
   const std::map<std::string, endpoint_ptr>& all() const { return endpoints_; }
 
   void Validate() const;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -175,6 +175,7 @@
       gossip.ScheduleReport();
       loads.ScheduleExchange();
     };
+    shared.on_evidence = [this] { gossip.ScheduleEvidence(); };
     shared.on_work_done = [this] { ExitIfIdle(); };
     shared.quarantine.SetListener([this](const routing::request_trait& trait, bool is_own) {
       log.LogState("trait_quarantined", {{"trait", fmt::format("{:016x}", trait.id.value)},
@@ -425,6 +426,7 @@
   self.settings_file = settings_file;
   const std::int64_t started = self.time.WallNow().time_since_epoch().count();
   const settings::gateway_settings& settings = self.settings;
+  self.shared.evidence.SetWitness(settings.vm_name, started);
   self.log.LogState("start", {{"vm", settings.vm_name},
                               {"failure_domain", settings.failure_domain},
                               {"callers", settings.callers_address},
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -41,8 +41,41 @@
   log.LogState("unexpected_error", {{"part", part}, {"error", error.what()}});
 }
 
+void gateway_state::RecordRefused(const routing::endpoint& refusing) {
+  evidence.RecordRefused(time.Now(), refusing);
+  counters.Counter("tarragon_gateway_endpoint_evidence_total", R"(kind="refused",source="own")")
+      .Add();
+  ApplyEvidence();
+}
+
+void gateway_state::RecordAnswer(routing::endpoint& responding) {
+  if (evidence.RecordAnswer(time.Now(), responding)) {
+    counters.Counter("tarragon_gateway_endpoint_evidence_total", R"(kind="answers",source="own")")
+        .Add();
+    ApplyEvidence();
+  }
+}
+
+void gateway_state::MergeEvidence(std::span<const routing::endpoint_statement> statements) {
+  const std::size_t added = evidence.Merge(time.Now(), statements);
+  if (added > 0) {
+    counters.Counter("tarragon_gateway_endpoint_evidence_total", R"(source="daemon")").Add(added);
+    ApplyEvidence();
+  }
+}
+
+void gateway_state::ApplyEvidence() {
+  evidence.Apply(time.Now(), endpoints);
+  if (on_evidence) {
+    on_evidence();
+  }
+}
+
 void gateway_state::KeepHouse() {
   const time_point now = time.Now();
+  evidence.Expire(now);
+  evidence.Apply(now, endpoints);
+  evidence.Validate();
   endpoints.RemoveMissing(now);
   endpoints.Validate();
   quarantine.Expire(now);
@@ -56,6 +89,8 @@
             [](const endpoint_ptr& known) { return known->limit.is_limited(); });
   set_count("tarragon_gateway_leaving_endpoints",
             [](const endpoint_ptr& known) { return known->leaving; });
+  set_count("tarragon_gateway_unreachable_endpoints",
+            [](const endpoint_ptr& known) { return known->unreachable; });
   set_count("tarragon_gateway_paused_endpoints",
             [now](const endpoint_ptr& known) { return known->pause.IsPaused(now); });
   const auto set = [this](const char* gauge, auto value) {
--- a/src/gateway/http_exchange.cc
+++ b/src/gateway/http_exchange.cc
@@ -44,7 +44,8 @@
     }
     self->connect_timer_.cancel();
     if (code) {
-      self->Fail(exchange_error::kConnectFailed);
+      self->Fail(code == asio::error::connection_refused ? exchange_error::kRefused
+                                                         : exchange_error::kConnectFailed);
       return;
     }
     self->connected_ = true;
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -11,6 +11,7 @@
 #include "gateway/load_serialization.h"
 #include "tarragon/base/hash.h"
 #include "tarragon/gateway/crash_message.h"
+#include "tarragon/gateway/evidence_message.h"
 #include "tarragon/gateway/load_relay.h"
 #include "tarragon/gateway/socket_options.h"
 
@@ -47,7 +48,7 @@
 }
 
 load_gossip::load_gossip(asio::io_context& loop, gateway_state& gateway)
-    : gateway_(gateway), socket_(loop), timer_(loop), report_timer_(loop) {}
+    : gateway_(gateway), socket_(loop), timer_(loop), report_timer_(loop), evidence_timer_(loop) {}
 
 bool load_gossip::Open(const std::string& address, std::int64_t started_unix_ms) {
   const auto target = ParseAddress(address);
@@ -72,6 +73,7 @@
 void load_gossip::Close() {
   timer_.cancel();
   report_timer_.cancel();
+  evidence_timer_.cancel();
   asio::error_code ignored;
   socket_.close(ignored);
 }
@@ -104,6 +106,10 @@
     gateway_.quarantine.Merge(now, *records);
     return;
   }
+  if (const auto statements = DecodeEvidence(datagram)) {
+    gateway_.MergeEvidence(*statements);
+    return;
+  }
   const auto report = DecodeReport(datagram);
   if (report && report->daemon != gateway_.own_vm && loads_.RecordReport(now, *report)) {
     ApplyLoads();
@@ -129,6 +135,7 @@
   ApplyLoads();
   SendReport();
   SendCrashRecords();
+  SendEvidence();
 }
 
 void load_gossip::ApplyLoads() {
@@ -155,6 +162,26 @@
   });
 }
 
+void load_gossip::ScheduleEvidence() {
+  if (peers_.empty() || std::exchange(evidence_scheduled_, true)) {
+    return;
+  }
+  evidence_timer_.expires_after(kBatchDelay);
+  evidence_timer_.async_wait([this](const asio::error_code& error) {
+    evidence_scheduled_ = false;
+    if (!error) {
+      SendEvidence();
+    }
+  });
+}
+
+void load_gossip::SendEvidence() {
+  if (!peers_.empty() && gateway_.evidence.HasUnsentChanges()) {
+    SendToSome(EncodeEvidence(gateway_.evidence.TakeChanges(gateway_.time.Now(), kMaxStatements)),
+               kFanOut);
+  }
+}
+
 routing::peer_report load_gossip::OwnReport() {
   routing::peer_report report;
   report.daemon = gateway_.own_vm;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -314,6 +314,7 @@
     return;
   }
   last_progress_at_ = gateway_.time.Now();
+  gateway_.RecordAnswer(*target_);
   crashes_.OnAnswerBegun();
   RecordStatements(gateway_, target_, head, id_);
   response_head_ = std::move(head);
@@ -359,6 +360,7 @@
   }
   // Only complete events are progress: a stalled engine may still send a byte now and then.
   last_progress_at_ = gateway_.time.Now();
+  gateway_.RecordAnswer(*target_);
   crashes_.OnEvent();
   const bool first_of_send = stream_.is_awaiting_first_event();
   RecordArrival(*batch);
@@ -486,6 +488,9 @@
 void request_handler::OnExchangeError(exchange_error error) {
   const auto self = shared_from_this();
   switch (error) {
+    case exchange_error::kRefused:
+      gateway_.RecordRefused(*target_);
+      [[fallthrough]];
     case exchange_error::kConnectFailed:
       HandleSendFailure(routing::send_failure::kConnectFailed, run_verdict::kNotRun);
       return;
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -110,7 +110,12 @@
                                     std::uint64_t id_hash,
                                     std::uint64_t row_version) {
   const endpoint_ptr found = FindByHash(id_hash);
-  if (found && found->row_version <= row_version) {
+  if (!found || found->leaving || found->row_version > row_version) {
+    return;
+  }
+  const std::string& service = found->entry.service;
+  if (FindByService(service).size() == 1 || CountExcludableByHearsay(service) > 0) {
+    found->leaving_by_hearsay = true;
     BeginLeaving(now, found, leaving_source::kDaemon);
   }
 }
@@ -174,6 +179,7 @@
 void endpoint_registry::BeginLeaving(time_point now,
                                      const endpoint_ptr& target,
                                      leaving_source source) {
+  target->leaving_by_hearsay = target->leaving_by_hearsay && source == leaving_source::kDaemon;
   if (std::exchange(target->leaving, true)) {
     return;
   }
@@ -189,6 +195,13 @@
   return found == by_service_.end() ? kNone : found->second;
 }
 
+std::size_t endpoint_registry::CountExcludableByHearsay(std::string_view service) const {
+  const std::vector<endpoint_ptr>& listed = FindByService(service);
+  const auto excluded =
+      static_cast<std::size_t>(std::ranges::count_if(listed, &endpoint::leaving_by_hearsay));
+  return listed.size() / 2 - std::min(listed.size() / 2, excluded);
+}
+
 void endpoint_registry::AddToIndices(const endpoint_ptr& known) {
   ++list_revision_;
   by_hash_[known->id_hash] = known;
