Plan copies of generations at leaving engines by what the source says

A leaving engine stops accepting calls before it ends its streams, and each generation there was tried at other targets every 400 ms until its stream ended, 124 times for one stream. The planner ends the attempts when the source refuses a connection, does not run the generation, or two responses in a row are lost. Rounds of four targets without room are repeated after 0.4 to 1.6 s. The order by protection is unchanged.

An order among a VM's generations by progress was left out: with 72 VMs each has one or two streams at an engine.

Run: copy_planner_test, endpoint_evidence_test, endpoint_registry_test and evidence_message_test, 27 tests, all passed. The rest of routing_test and gateway_test was not rebuilt.

--- a/include/tarragon/gateway/generation_copies.h
+++ b/include/tarragon/gateway/generation_copies.h
@@ -10,6 +10,7 @@
 
 #include "tarragon/gateway/gateway_state.h"
 #include "tarragon/gateway/standby_copy.h"
+#include "tarragon/routing/copy_planner.h"
 #include "tarragon/routing/endpoint_picker.h"
 #include "tarragon/routing/load_reservation.h"
 
@@ -68,13 +69,14 @@
 
  private:
   void OnCopyCompleted(const kv_copy& copy) override;
-  void OnCopyFailed(std::string_view reason) override;
+  void OnCopyFailed(routing::copy_failure failure, std::string_view reason) override;
 
   /** Drops copies at engines that do not accept work. @return the preferred one, or null. */
   std::optional<copy_location>* PreferredCopy();
   bool WantsCopies() const;
-  /** Starts a standby copy if the engine is leaving and no adequate copy exists. */
+  /** Starts a standby copy if the engine is leaving and the planner wants one. */
   void EnsureCopy();
+  routing::copy_situation DescribeSituation() const;
   void ScheduleEnsureCopy(duration wait);
   void StartStandby();
   void StopStandby();
@@ -94,6 +96,9 @@
   std::optional<copy_location> backup_;
   routing::load_reservation backup_reservation_;
 
+  routing::copy_planner planner_;
+  /** A timer will call `EnsureCopy`. */
+  bool is_copy_scheduled_ = false;
   std::shared_ptr<standby_copy> standby_;
   /** Id of the target endpoint of `standby_`. */
   std::string standby_target_;
--- a/include/tarragon/gateway/standby_copy.h
+++ b/include/tarragon/gateway/standby_copy.h
@@ -11,6 +11,7 @@
 
 #include "tarragon/gateway/http_exchange.h"
 #include "tarragon/gateway/platform_adapter.h"
+#include "tarragon/routing/copy_planner.h"
 
 namespace tarragon::gateway {
 
@@ -21,7 +22,7 @@
   /** A copy, or an update of the previous copy, is complete. */
   virtual void OnCopyCompleted(const kv_copy& copy) = 0;
   /** A copy or update failed. No further call follows. */
-  virtual void OnCopyFailed(std::string_view reason) = 0;
+  virtual void OnCopyFailed(routing::copy_failure failure, std::string_view reason) = 0;
 };
 
 /**
@@ -65,7 +66,7 @@
   void OnExchangeError(exchange_error error) override;
 
   void Update();
-  void Fail(std::string_view reason);
+  void Fail(routing::copy_failure failure, std::string_view reason);
   void AbandonCall(std::string_view reason);
 
   asio::io_context& loop_;
--- a/src/gateway/generation_copies.cc
+++ b/src/gateway/generation_copies.cc
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 #include <iterator>
 #include <utility>
+#include <variant>
 
 namespace tarragon::gateway {
 
@@ -14,19 +15,21 @@
 /** Shorter generations do not justify the KV cache space that a copy occupies. */
 constexpr std::uint32_t kMinTokensForCopies = 1500;
 
-/**
- * Failed standby copies, each at another engine, after which the next one waits for
- * `kStandbyRetryDelay`. The notice period of a leaving engine has time for about this many.
- */
-constexpr std::size_t kMaxStandbyAttempts = 4;
-/** Delay before full engines are asked again; generations end every few hundred ms. */
-constexpr std::chrono::milliseconds kStandbyRetryDelay{400};
-
-/**
- * Time after an engine starts to leave in which only generations without a backup are copied. All
- * copies share the engine's link: eight copies take 1.5 s, most of the notice period.
- */
-constexpr std::chrono::milliseconds kUnprotectedPriorityPeriod{400};
+std::string_view FailureName(routing::copy_failure failure) {
+  switch (failure) {
+    case routing::copy_failure::kSourceRefused:
+      return "source_refused";
+    case routing::copy_failure::kNoSuchRun:
+      return "no_such_run";
+    case routing::copy_failure::kNoResponse:
+      return "no_response";
+    case routing::copy_failure::kBusy:
+      return "busy";
+    case routing::copy_failure::kNoRoom:
+      return "no_room";
+  }
+  return "unknown";
+}
 
 }  // namespace
 
@@ -48,6 +51,7 @@
   requirements_ = std::move(requirements);
   requirements_.excluded.push_back(source->entry.id);
   running_ = false;
+  planner_.BeginRun();
   requested_backup_.reset();
   backup_reservation_.Release();
   standby_reservation_.Release();
@@ -104,30 +108,34 @@
   EnsureCopy();
 }
 
+routing::copy_situation generation_copies::DescribeSituation() const {
+  return {.leaving_for = gateway_.time.Now() - *source_->leaving_since,
+          .has_backup = backup_.has_value(),
+          .backup_misses_objective = backup_ && MissesPauseObjective(backup_->endpoint_id)};
+}
+
 void generation_copies::EnsureCopy() {
-  if (!running_ || standby_ || !source_->leaving_since) {
-    return;
-  }
-  if (!backup_) {
-    StartStandby();
-    return;
-  }
-  // A standby copy besides an adequate backup would use KV cache that running generations need.
-  if (!MissesPauseObjective(backup_->endpoint_id)) {
-    return;
-  }
-  const duration wait = *source_->leaving_since + kUnprotectedPriorityPeriod - gateway_.time.Now();
-  if (wait <= duration::zero()) {
-    StartStandby();
-  } else {
-    ScheduleEnsureCopy(wait);
+  struct visitor {
+    generation_copies& copies;
+
+    void operator()(routing::no_copy) const {}
+    void operator()(routing::copy_now) const { copies.StartStandby(); }
+    void operator()(routing::copy_after after) const { copies.ScheduleEnsureCopy(after.delay); }
+  };
+  if (running_ && !standby_ && source_->leaving_since) {
+    std::visit(visitor{*this}, planner_.Plan(DescribeSituation()));
   }
 }
 
 void generation_copies::ScheduleEnsureCopy(duration wait) {
+  if (std::exchange(is_copy_scheduled_, true)) {
+    return;
+  }
   auto timer = std::make_shared<asio::steady_timer>(gateway_.loop, wait);
   timer->async_wait([this, alive = alive_, timer](const asio::error_code&) {
     if (*alive) {
+      is_copy_scheduled_ = false;
+      planner_.OnDelayPassed();
       EnsureCopy();
     }
   });
@@ -185,11 +193,17 @@
 }
 
 void generation_copies::OnCopyCompleted(const kv_copy& copy) {
+  planner_.OnCompleted();
   standby_location_ = copy_location{
       standby_target_, gateway_.adapter.KvCopyReference(standby_->source_address(), copy.handle)};
 }
 
-void generation_copies::OnCopyFailed(std::string_view reason) {
+void generation_copies::OnCopyFailed(routing::copy_failure failure, std::string_view reason) {
+  planner_.OnFailure(failure);
+  gateway_.counters
+      .Counter("tarragon_gateway_failed_copies_total",
+               fmt::format("reason=\"{}\"", FailureName(failure)))
+      .Add();
   gateway_.log.LogRequest("standby_failed",
                           {{"request", request_id_}, {"to", standby_target_}, {"reason", reason}});
   rejected_targets_.push_back(standby_target_);
@@ -198,12 +212,10 @@
     return;
   }
   standby_reservation_.Release();
-  if (rejected_targets_.size() < kMaxStandbyAttempts) {
-    EnsureCopy();
-    return;
+  if (planner_.is_new_round()) {
+    rejected_targets_.clear();
   }
-  rejected_targets_.clear();
-  ScheduleEnsureCopy(kStandbyRetryDelay);
+  EnsureCopy();
 }
 
 std::optional<copy_location>* generation_copies::PreferredCopy() {
--- a/src/gateway/standby_copy.cc
+++ b/src/gateway/standby_copy.cc
@@ -11,6 +11,19 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+
+routing::copy_failure FailureOf(int status) {
+  switch (status) {
+    case kNotFound:
+      return routing::copy_failure::kNoSuchRun;
+    case kConflict:
+      return routing::copy_failure::kBusy;
+    default:
+      return routing::copy_failure::kNoRoom;
+  }
+}
 
 /** Responses to these calls have some hundred bytes. */
 constexpr std::size_t kMaxResponseBytes = std::size_t{64} << 10;
@@ -130,7 +143,7 @@
   if (exchange_) {
     exchange_->Cancel();
     exchange_.reset();
-    Fail(reason);
+    Fail(routing::copy_failure::kNoResponse, reason);
   }
 }
 
@@ -141,7 +154,7 @@
   exchange_.reset();
   const decode_result<kv_copy> copy = adapter_.DecodeKvCopy(body_);
   if (status_ != kOk || !copy) {
-    Fail(fmt::format("engine returned status {} or no readable copy", status_));
+    Fail(FailureOf(status_), fmt::format("engine returned status {} or no readable copy", status_));
     return;
   }
   handle_ = copy.value().handle;
@@ -154,16 +167,20 @@
   });
 }
 
-void standby_copy::OnExchangeError(exchange_error) {
+void standby_copy::OnExchangeError(exchange_error error) {
   const auto self = shared_from_this();
   call_timer_.cancel();
   exchange_.reset();
-  Fail("no valid response from the engine");
+  if (error == exchange_error::kRefused) {
+    Fail(routing::copy_failure::kSourceRefused, "the engine refuses connections");
+  } else {
+    Fail(routing::copy_failure::kNoResponse, "no valid response from the engine");
+  }
 }
 
-void standby_copy::Fail(std::string_view reason) {
+void standby_copy::Fail(routing::copy_failure failure, std::string_view reason) {
   if (standby_listener* const listener = std::exchange(listener_, nullptr); listener != nullptr) {
-    listener->OnCopyFailed(reason);
+    listener->OnCopyFailed(failure, reason);
   }
 }
 
