--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -41,8 +41,41 @@
   log.LogState("unexpected_error", {{"part", part}, {"error", error.what()}});
 }
 
+void gateway_state::RecordRefused(const routing::endpoint& refusing) {
+  evidence.RecordRefused(time.Now(), refusing);
+  counters.Counter("tarragon_gateway_endpoint_evidence_total", R"(kind="refused",source="own")")
+      .Add();
+  ApplyEvidence();
+}
+
+void gateway_state::RecordAnswer(routing::endpoint& responding) {
+  if (evidence.RecordAnswer(time.Now(), responding)) {
+    counters.Counter("tarragon_gateway_endpoint_evidence_total", R"(kind="answers",source="own")")
+        .Add();
+    ApplyEvidence();
+  }
+}
+
+void gateway_state::MergeEvidence(std::span<const routing::endpoint_statement> statements) {
+  const std::size_t added = evidence.Merge(time.Now(), statements);
+  if (added > 0) {
+    counters.Counter("tarragon_gateway_endpoint_evidence_total", R"(source="daemon")").Add(added);
+    ApplyEvidence();
+  }
+}
+
+void gateway_state::ApplyEvidence() {
+  evidence.Apply(time.Now(), endpoints);
+  if (on_evidence) {
+    on_evidence();
+  }
+}
+
 void gateway_state::KeepHouse() {
   const time_point now = time.Now();
+  evidence.Expire(now);
+  evidence.Apply(now, endpoints);
+  evidence.Validate();
   endpoints.RemoveMissing(now);
   endpoints.ValidateChanges();
   endpoints.evacuations().Validate();
@@ -55,16 +88,19 @@
   std::size_t leaving = 0;
   std::size_t paused = 0;
   std::size_t evacuated = 0;
+  std::size_t unreachable = 0;
   for (const routing::endpoint_ptr& known : endpoints.all() | std::views::values) {
     limited += known->limit.is_limited() ? 1 : 0;
     leaving += known->leaving ? 1 : 0;
     paused += known->pause.IsPaused(now) ? 1 : 0;
     evacuated += known->evacuated ? 1 : 0;
+    unreachable += known->unreachable ? 1 : 0;
   }
   set("tarragon_gateway_limited_endpoints", limited);
   set("tarragon_gateway_leaving_endpoints", leaving);
   set("tarragon_gateway_paused_endpoints", paused);
   set("tarragon_gateway_evacuated_endpoints", evacuated);
+  set("tarragon_gateway_unreachable_endpoints", unreachable);
   set("tarragon_gateway_used_endpoints", used_endpoints.size());
   set("tarragon_gateway_quarantined_traits", quarantine.quarantined_count());
   set("tarragon_gateway_evacuated_domains", endpoints.evacuations().evacuated_count());
