Cold endpoints: keep the rate that their service names, over all daemons

Cause: a service's configuration names the requests per second that a cold endpoint bears, and no part kept to it. The time of a cold start was counted from the listing of the endpoint, so that a later cold start was not known.

Change: the adapter reads the rate and the time. endpoint_registry sets cold_until from each newer row; when a failure domain is taken back, its endpoints count as cold until a row written after the order says otherwise, or for the cold time of the service. rate_limit holds the cold rate beside the rate that answers name, over one second, and the lower one counts. Sends to cold endpoints travel with the loads although no answer has named a limit.

Ruled out: a fixed share of the rate for each daemon, which leaves most of it unused at 72 daemons.

Tests: all 142 routing and 15 platform tests pass. The tests of the gateway and the emulator's evacuation_test have not been run with this change.

--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "tarragon/base/clock.h"
+#include "tarragon/routing/cold_start.h"
 #include "tarragon/routing/endpoint_pause.h"
 #include "tarragon/routing/evacuation_list.h"
 #include "tarragon/routing/event_interval_tracker.h"
@@ -32,7 +33,7 @@
   std::uint32_t slots = 0;
   /** The endpoint is draining: it finishes the requests in flight and accepts no new ones. */
   bool leaving = false;
-  /** Time after the start during which the endpoint works slowly. */
+  /** Time for which the endpoint stays cold, from when the row was written. */
   std::chrono::milliseconds warm_up{0};
   /** Start of this incarnation in Unix milliseconds; 0 if unknown. */
   std::int64_t started_unix_ms = 0;
@@ -80,6 +81,10 @@
   /** Its failure domain is evacuated by an order of the operator. */
   bool evacuated = false;
   time_point listed_at;
+  /** The endpoint is cold until then: it is slow, and takes the requests of `cold_start` only. */
+  time_point cold_until;
+  /** Rows up to this version may be older than a cold start that `cold_until` allows for. */
+  std::uint64_t cold_since_version = 0;
   /** When this daemon first learned that the endpoint is leaving. */
   std::optional<time_point> leaving_since;
   /** Version of the row that was applied last. */
@@ -116,6 +121,7 @@
 /** Holds all endpoints that the platform lists, and decides which of them are in use. */
 class endpoint_registry final {
  public:
+  using cold_listener = std::function<void(const endpoint_ptr&)>;
   using leaving_listener = std::function<void(const endpoint_ptr&, leaving_source)>;
 
   explicit endpoint_registry(registry_options options = {}) : options_(options) {}
@@ -123,6 +129,15 @@
   /** @param on_leaving called once for each endpoint that starts to drain or is removed. */
   void SetLeavingListener(leaving_listener on_leaving) { on_leaving_ = std::move(on_leaving); }
 
+  /** @param on_cold called for each endpoint whose limit for cold endpoints begins or ends. */
+  void SetColdListener(cold_listener on_cold) { on_cold_ = std::move(on_cold); }
+
+  /** Sets what cold endpoints take, by service; those of other services have no such limit. */
+  void SetColdStarts(time_point now, std::map<std::string, cold_start, std::less<>> cold_starts);
+
+  /** Ends the cold starts whose time has passed. */
+  void EndColdStarts(time_point now);
+
   /** Applies one row of the store. Ignored if a newer version or tombstone is known. */
   void Put(time_point now, std::uint64_t row_version, endpoint_entry entry);
 
@@ -157,15 +172,21 @@
    */
   bool BeginEvacuation(std::uint64_t row_version, const std::string& failure_domain);
 
-  /** Applies the deletion of an order. @return whether the order was in force before. */
-  bool EndEvacuation(std::uint64_t row_version, const std::string& failure_domain);
+  /**
+   * Applies the deletion of an order. The endpoints of the domain may have become cold meanwhile,
+   * and count as cold until a later row says otherwise or the cold time of their service has
+   * passed.
+   * @return whether the order was in force before.
+   */
+  bool EndEvacuation(time_point now, std::uint64_t row_version, const std::string& failure_domain);
 
   /**
    * Ends the evacuations that a complete list of orders lacks.
    * @param listed all failure domains of the list.
    * @return the domains that are no longer evacuated.
    */
-  std::vector<std::string> EndUnlistedEvacuations(std::uint64_t version,
+  std::vector<std::string> EndUnlistedEvacuations(time_point now,
+                                                  std::uint64_t version,
                                                   const std::vector<std::string>& listed);
 
   const evacuation_list& evacuations() const { return evacuations_; }
@@ -191,7 +212,13 @@
  private:
   void BeginLeaving(time_point now, const endpoint_ptr& target, leaving_source source);
   void Drop(time_point now, const std::string& id);
-  void MarkEvacuated(const std::string& failure_domain, bool is_evacuated);
+  /** Marks the endpoints of a domain that was taken back. */
+  void Return(time_point now, std::uint64_t row_version, const std::string& failure_domain);
+  /** Sets when the endpoint gets warm, by a row that is newer than the last one. */
+  static void SetColdUntil(time_point now, endpoint& known);
+  /** Begins or ends the endpoint's limit for cold endpoints. */
+  void UpdateColdRate(time_point now, const endpoint_ptr& known);
+  std::vector<endpoint_ptr> FindByFailureDomain(const std::string& failure_domain) const;
   void AddToIndices(const endpoint_ptr& known);
   void RemoveFromIndices(const endpoint_ptr& known);
   /** @return the endpoint's position in the endpoints of its service, which are ordered by id. */
@@ -200,6 +227,8 @@
 
   registry_options options_;
   leaving_listener on_leaving_;
+  cold_listener on_cold_;
+  std::map<std::string, cold_start, std::less<>> cold_starts_;
   std::map<std::string, endpoint_ptr> endpoints_;
   /** Ordered by id within each service. */
   std::map<std::string, std::vector<endpoint_ptr>, std::less<>> by_service_;
--- a/include/tarragon/routing/rate_limit.h
+++ b/include/tarragon/routing/rate_limit.h
@@ -39,9 +39,10 @@
 
 /**
  * Keeps the requests that all daemons send to an endpoint within the rate that the endpoint names
- * in its answers. Each daemon counts its own sends and learns those of the others some
- * milliseconds later, so that several may send at once when there is room for one; what is
- * sent in excess counts, and is saved afterwards.
+ * in its answers, and within the rate of its service for cold endpoints while it is cold. Each
+ * daemon counts its own sends and learns those of the others some milliseconds later, so that
+ * several may send at once when there is room for one; what is sent in excess counts, and is saved
+ * afterwards.
  */
 class rate_limit final {
  public:
@@ -53,11 +54,15 @@
   /** Sets what the other daemons know, and how much they have sent within the window. */
   void SetPeers(time_point now, const limit_statement& statement, std::uint32_t sends);
 
+  /** @param per_second rate of a cold endpoint; empty if the endpoint is warm. */
+  void SetColdRate(std::optional<double> per_second) { cold_per_second_ = per_second; }
+  bool is_cold() const { return cold_per_second_.has_value(); }
+
   /** @return the latest statement that is known to any daemon. */
   const limit_statement& statement() const { return statement_; }
-  bool is_limited() const { return statement_.per_second.has_value(); }
+  bool is_limited() const { return statement_.per_second.has_value() || is_cold(); }
 
-  /** @return requests that this daemon has sent within the window; 0 while there is no limit. */
+  /** @return requests that this daemon has sent within `Window`; 0 while there is no limit. */
   std::uint32_t OwnSends(time_point now) const;
 
   /** @return requests that the endpoint takes now; infinite if there is no limit. */
@@ -79,6 +84,8 @@
    */
   static constexpr std::chrono::seconds kMinWindow{4};
   static constexpr std::chrono::seconds kMaxWindow{10};
+  /** A cold endpoint crashes if its rate is exceeded within a second. */
+  static constexpr std::chrono::seconds kColdWindow{1};
   /** Sent even to an endpoint that takes nothing: only its answers show when it recovers. */
   static constexpr double kMinPerSecond = 0.1;
   /** Answers may name a slightly different rate each time; smaller changes are ignored. */
@@ -90,16 +97,28 @@
   static constexpr double kBegunStreamShare = 0.25;
   static constexpr double kBegunStreams = 1;
 
+  /** Requests that the endpoint may get within a time. */
+  struct bound {
+    double per_second = 0;
+    duration window{0};
+
+    double Allowed(limit_use use) const;
+  };
+
   /** Drops the times before the longest window. */
   static void DropOld(time_point now, std::deque<time_point>& sends);
-  double Rate() const;
-  /** @return time that is long enough for one request. */
+  /** @return what the endpoint's statement allows; empty if it names no rate. */
+  std::optional<bound> StatedBound() const;
+  /** @return what a cold endpoint bears; empty if the endpoint is warm. */
+  std::optional<bound> ColdBound() const;
+  /** @return time for which daemons tell each other their sends. */
   duration Window() const;
-  /** @return requests that the endpoint may get within the window. */
-  double Allowed(limit_use use) const;
   std::size_t PeerSends(time_point now) const;
+  double Room(time_point now, const bound& in_force, limit_use use) const;
+  duration UnusedRoomAge(time_point now, const bound& in_force, limit_use use) const;
 
   limit_statement statement_;
+  std::optional<double> cold_per_second_;
   /** Times of the sends within `kMaxWindow`, the oldest first. */
   std::deque<time_point> sends_;
   /**
--- a/include/tarragon/routing/service_config.h
+++ b/include/tarragon/routing/service_config.h
@@ -12,6 +12,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "tarragon/routing/cold_start.h"
+
 namespace tarragon::routing {
 
 /** Whether and how a request may be sent again. */
@@ -68,6 +70,8 @@
   std::uint32_t max_connections = 0;
   /** Empty for plain services. */
   std::optional<engine_limits> engine;
+  /** Empty if cold endpoints take as many requests as warm ones. */
+  std::optional<cold_start> cold = std::nullopt;
 };
 
 struct caller_limits {
@@ -104,6 +108,7 @@
   const caller_limits& limits() const { return parts_.limits; }
   bool requires_api_key() const { return !parts_.accounts.empty(); }
   const std::vector<route>& routes() const { return parts_.routes; }
+  const std::vector<service>& services() const { return parts_.services; }
 
   /** @return the host's route with the longest prefix of `path`, or null if none matches. */
   const route* FindRoute(std::string_view host, std::string_view path) const;
--- a/src/gateway/config_updater.cc
+++ b/src/gateway/config_updater.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
+#include <map>
 #include <ranges>
 #include <utility>
 
@@ -29,9 +31,10 @@
 void config_updater::ApplyEvacuation(const std::string& failure_domain,
                                      const table_row& row,
                                      const table_position& position) {
-  const bool has_changed = row.deleted
-                               ? gateway_.endpoints.EndEvacuation(row.version, failure_domain)
-                               : gateway_.endpoints.BeginEvacuation(row.version, failure_domain);
+  const bool has_changed =
+      row.deleted
+          ? gateway_.endpoints.EndEvacuation(gateway_.time.Now(), row.version, failure_domain)
+          : gateway_.endpoints.BeginEvacuation(row.version, failure_domain);
   if (has_changed) {
     LogEvacuation(row.deleted ? "evacuation_ended" : "evacuation_begun", failure_domain,
                   row.version, position);
@@ -48,7 +51,7 @@
     }
   }
   for (const std::string& failure_domain :
-       gateway_.endpoints.EndUnlistedEvacuations(position.version, listed)) {
+       gateway_.endpoints.EndUnlistedEvacuations(gateway_.time.Now(), position.version, listed)) {
     LogEvacuation("evacuation_ended", failure_domain, position.version, position);
   }
 }
@@ -86,6 +89,13 @@
                                             {"row_version", row.version},
                                             {"routes", config->routes().size()}});
   gateway_.config = std::move(config);
+  std::map<std::string, routing::cold_start, std::less<>> cold_starts;
+  for (const routing::service& known : gateway_.config->services()) {
+    if (known.cold) {
+      cold_starts.emplace(known.name, *known.cold);
+    }
+  }
+  gateway_.endpoints.SetColdStarts(gateway_.time.Now(), std::move(cold_starts));
 }
 
 void config_updater::OnStoreLost(std::string_view reason) {
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -171,6 +171,12 @@
         [this](const routing::endpoint_ptr& endpoint, routing::leaving_source source) {
           OnEndpointLeaving(endpoint, source);
         });
+    shared.endpoints.SetColdListener([this](const routing::endpoint_ptr& endpoint) {
+      log.LogState(endpoint->limit.is_cold() ? "endpoint_cold" : "endpoint_warm",
+                   {{"endpoint", endpoint->entry.id},
+                    {"failure_domain", endpoint->entry.failure_domain},
+                    {"row_version", endpoint->row_version}});
+    });
     shared.on_request_sent = [this] {
       gossip.ScheduleReport();
       loads.ScheduleExchange();
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -44,6 +44,7 @@
 void gateway_state::KeepHouse() {
   const time_point now = time.Now();
   endpoints.RemoveMissing(now);
+  endpoints.EndColdStarts(now);
   endpoints.Validate();
   endpoints.evacuations().Validate();
   quarantine.Expire(now);
@@ -55,6 +56,8 @@
   using routing::endpoint_ptr;
   set_count("tarragon_gateway_limited_endpoints",
             [](const endpoint_ptr& known) { return known->limit.is_limited(); });
+  set_count("tarragon_gateway_cold_endpoints",
+            [](const endpoint_ptr& known) { return known->limit.is_cold(); });
   set_count("tarragon_gateway_leaving_endpoints",
             [](const endpoint_ptr& known) { return known->leaving; });
   set_count("tarragon_gateway_paused_endpoints",
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -166,8 +166,9 @@
   // Endpoints with load come first. Measurements of idle endpoints fill the rest of the datagram,
   // round robin if they do not all fit.
   const time_point now = gateway_.time.Now();
-  const auto is_loaded = [](const routing::endpoint& known) {
-    return known.own_load != routing::endpoint_load{} || known.limit.statement().revision > 0;
+  const auto is_loaded = [now](const routing::endpoint& known) {
+    return known.own_load != routing::endpoint_load{} || known.limit.statement().revision > 0 ||
+           known.limit.OwnSends(now) > 0;
   };
   const auto& all = gateway_.endpoints.all();
   for (const routing::endpoint_ptr& known : all | std::views::values) {
--- a/src/gateway/load_relay.cc
+++ b/src/gateway/load_relay.cc
@@ -25,9 +25,10 @@
 namespace {
 
 /** @return whether this daemon has anything to tell; in a large fleet it uses few endpoints. */
-bool HasOwnReport(const routing::endpoint& known) {
+bool HasOwnReport(time_point now, const routing::endpoint& known) {
   return known.own_load != routing::endpoint_load{} || known.event_interval.OwnEstimate() ||
-         known.slowness.OwnMinimum() || known.limit.statement().revision > 0;
+         known.slowness.OwnMinimum() || known.limit.statement().revision > 0 ||
+         known.limit.OwnSends(now) > 0;
 }
 
 }  // namespace
@@ -168,7 +169,7 @@
   const time_point now = gateway_.time.Now();
   std::vector<routing::endpoint_load_report> reports;
   for (const routing::endpoint_ptr& known : gateway_.endpoints.all() | std::views::values) {
-    if (!HasOwnReport(*known)) {
+    if (!HasOwnReport(now, *known)) {
       continue;
     }
     routing::endpoint_load_report report = MakeLoadReport(now, *known);
--- a/src/gateway/load_serialization.h
+++ b/src/gateway/load_serialization.h
@@ -26,13 +26,13 @@
   load.unread_tokens = unread_tokens;
 }
 
-/** Few endpoints have ever been limited, so that the others take a single byte. */
+/** Few endpoints are cold or have ever been limited, so that the others take a single byte. */
 template <class Archive>
 void SerializeLimit(Archive& archive, endpoint_load_report& report) {
   constexpr double kNoLimit = -1;
-  bool has_statement = report.limit.revision > 0;
-  archive(has_statement);
-  if (!has_statement) {
+  bool has_limit = report.limit.revision > 0 || report.recent_sends > 0;
+  archive(has_limit);
+  if (!has_limit) {
     return;
   }
   double per_second = report.limit.per_second.value_or(kNoLimit);
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -165,7 +165,7 @@
     // Room for a few requests attracts all daemons at once.
     expected += expected * SpreadPoint(candidate, request.entropy);
   }
-  if (now < candidate.listed_at + candidate.entry.warm_up) {
+  if (now < candidate.cold_until) {
     expected += options_.warm_up_penalty_ms;
   }
   return expected;
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -66,12 +66,17 @@
     known->listed_at = now;
     known->id_hash = Hash64(entry.id);
   }
+  const bool is_newer = row_version > known->row_version;
   known->row_version = row_version;
   known->entry = std::move(entry);
   known->evacuated = evacuations_.IsEvacuated(known->entry.failure_domain);
   if (!same_incarnation) {
     AddToIndices(known);
   }
+  if (is_newer) {
+    SetColdUntil(now, *known);
+    UpdateColdRate(now, known);
+  }
   if (known->entry.leaving) {
     BeginLeaving(now, known, leaving_source::kRow);
   }
@@ -138,37 +143,88 @@
                                         const std::string& failure_domain) {
   const bool has_begun = evacuations_.Begin(failure_domain, row_version);
   if (has_begun) {
-    MarkEvacuated(failure_domain, true);
+    std::ranges::for_each(FindByFailureDomain(failure_domain),
+                          [](const endpoint_ptr& known) { known->evacuated = true; });
   }
   return has_begun;
 }
 
-bool endpoint_registry::EndEvacuation(std::uint64_t row_version,
+bool endpoint_registry::EndEvacuation(time_point now,
+                                      std::uint64_t row_version,
                                       const std::string& failure_domain) {
   const bool has_ended = evacuations_.End(failure_domain, row_version);
   if (has_ended) {
-    MarkEvacuated(failure_domain, false);
+    Return(now, row_version, failure_domain);
   }
   return has_ended;
 }
 
 std::vector<std::string> endpoint_registry::EndUnlistedEvacuations(
+    time_point now,
     std::uint64_t version,
     const std::vector<std::string>& listed) {
   std::vector<std::string> ended = evacuations_.EndUnlisted(version, listed);
   std::ranges::for_each(
-      ended, [this](const std::string& failure_domain) { MarkEvacuated(failure_domain, false); });
+      ended, [&](const std::string& failure_domain) { Return(now, version, failure_domain); });
   return ended;
 }
 
-void endpoint_registry::MarkEvacuated(const std::string& failure_domain, bool is_evacuated) {
-  for (const endpoint_ptr& known : endpoints_ | std::views::values) {
-    if (known->entry.failure_domain == failure_domain) {
-      known->evacuated = is_evacuated;
+void endpoint_registry::Return(time_point now,
+                               std::uint64_t row_version,
+                               const std::string& failure_domain) {
+  for (const endpoint_ptr& known : FindByFailureDomain(failure_domain)) {
+    known->evacuated = false;
+    const auto start = cold_starts_.find(known->entry.service);
+    if (start != cold_starts_.end() && known->row_version <= row_version) {
+      known->cold_until = std::max<time_point>(known->cold_until, now + start->second.time);
+      known->cold_since_version = row_version;
+      UpdateColdRate(now, known);
     }
   }
 }
 
+std::vector<endpoint_ptr> endpoint_registry::FindByFailureDomain(
+    const std::string& failure_domain) const {
+  std::vector<endpoint_ptr> found;
+  std::ranges::copy_if(
+      endpoints_ | std::views::values, std::back_inserter(found),
+      [&](const endpoint_ptr& known) { return known->entry.failure_domain == failure_domain; });
+  return found;
+}
+
+void endpoint_registry::SetColdStarts(time_point now,
+                                      std::map<std::string, cold_start, std::less<>> cold_starts) {
+  if (cold_starts_ != cold_starts) {
+    cold_starts_ = std::move(cold_starts);
+    EndColdStarts(now);
+  }
+}
+
+void endpoint_registry::EndColdStarts(time_point now) {
+  for (const endpoint_ptr& known : endpoints_ | std::views::values) {
+    UpdateColdRate(now, known);
+  }
+}
+
+void endpoint_registry::SetColdUntil(time_point now, endpoint& known) {
+  const time_point stated = now + known.entry.warm_up;
+  const bool is_certain = known.row_version > known.cold_since_version;
+  known.cold_until = is_certain ? stated : std::max(stated, known.cold_until);
+}
+
+void endpoint_registry::UpdateColdRate(time_point now, const endpoint_ptr& known) {
+  const auto start = cold_starts_.find(known->entry.service);
+  const bool is_cold = start != cold_starts_.end() && now < known->cold_until;
+  const bool was_cold = known->limit.is_cold();
+  if (!is_cold && !was_cold) {
+    return;
+  }
+  known->limit.SetColdRate(is_cold ? std::optional(start->second.per_second) : std::nullopt);
+  if (is_cold != was_cold && on_cold_) {
+    on_cold_(known);
+  }
+}
+
 void endpoint_registry::OnStoreUnavailable(time_point) {
   store_unavailable_ = true;
 }
--- a/src/routing/load_exchange.cc
+++ b/src/routing/load_exchange.cc
@@ -170,7 +170,7 @@
 void load_exchange::ApplyTo(time_point now, endpoint& known) {
   const endpoint_load_report sum = Sum(known.id_hash, nullptr);
   SetPeerReport(now, known, sum);
-  if (sum.limit.revision > 0) {
+  if (sum.limit.revision > 0 || sum.recent_sends > 0) {
     limited_.insert(known.id_hash);
   } else {
     limited_.erase(known.id_hash);
--- a/src/routing/rate_limit.cc
+++ b/src/routing/rate_limit.cc
@@ -59,20 +59,33 @@
   }
 }
 
-double rate_limit::Rate() const {
-  return std::max(kMinPerSecond, statement_.per_second.value_or(kMinPerSecond));
+double rate_limit::bound::Allowed(limit_use use) const {
+  const double allowed = std::max(1.0, per_second * std::chrono::duration<double>(window).count());
+  return use == limit_use::kBegunStream ? (1 + kBegunStreamShare) * allowed + kBegunStreams
+                                        : allowed;
 }
 
-duration rate_limit::Window() const {
-  const std::chrono::duration<double> for_one_request(1 / Rate());
-  return std::clamp<duration>(std::chrono::duration_cast<duration>(for_one_request), kMinWindow,
-                              kMaxWindow);
+std::optional<rate_limit::bound> rate_limit::StatedBound() const {
+  if (!statement_.per_second) {
+    return std::nullopt;
+  }
+  const double per_second = std::max(kMinPerSecond, *statement_.per_second);
+  // The window is long enough for one request.
+  const std::chrono::duration<double> for_one_request(1 / per_second);
+  return bound{per_second,
+               std::clamp<duration>(std::chrono::duration_cast<duration>(for_one_request),
+                                    kMinWindow, kMaxWindow)};
 }
 
-double rate_limit::Allowed(limit_use use) const {
-  const double allowed = std::max(1.0, Rate() * std::chrono::duration<double>(Window()).count());
-  return use == limit_use::kBegunStream ? (1 + kBegunStreamShare) * allowed + kBegunStreams
-                                        : allowed;
+std::optional<rate_limit::bound> rate_limit::ColdBound() const {
+  return cold_per_second_
+             ? std::optional(bound{std::max(kMinPerSecond, *cold_per_second_), kColdWindow})
+             : std::nullopt;
+}
+
+duration rate_limit::Window() const {
+  const std::optional<bound> stated = StatedBound();
+  return stated ? stated->window : kMinWindow;
 }
 
 std::size_t rate_limit::PeerSends(time_point now) const {
@@ -83,12 +96,21 @@
   return is_limited() ? static_cast<std::uint32_t>(CountSince(now - Window(), sends_)) : 0;
 }
 
+double rate_limit::Room(time_point now, const bound& in_force, limit_use use) const {
+  const time_point start = now - in_force.window;
+  return in_force.Allowed(use) - static_cast<double>(CountSince(start, sends_)) -
+         static_cast<double>(CountSince(start, peer_sends_));
+}
+
 double rate_limit::Room(time_point now, limit_use use) const {
-  return is_limited() ? Allowed(use) - OwnSends(now) - static_cast<double>(PeerSends(now))
-                      : std::numeric_limits<double>::infinity();
+  double room = std::numeric_limits<double>::infinity();
+  for (const std::optional<bound>& in_force : {StatedBound(), ColdBound()}) {
+    room = in_force ? std::min(room, Room(now, *in_force, use)) : room;
+  }
+  return room;
 }
 
-duration rate_limit::UnusedRoomAge(time_point now, limit_use use) const {
+duration rate_limit::UnusedRoomAge(time_point now, const bound& in_force, limit_use use) const {
   std::vector<time_point> sends;
   sends.reserve(sends_.size() + peer_sends_.size());
   std::ranges::merge(sends_, peer_sends_, std::back_inserter(sends));
@@ -96,18 +118,32 @@
     return kMaxWindow;
   }
   // Room came when the last of the sends in excess left the window.
-  const auto left = static_cast<std::size_t>(Allowed(use)) - 1;
-  const time_point since = sends.size() <= left
-                               ? sends.back()
-                               : std::max(sends.back(), sends[sends.size() - 1 - left] + Window());
+  const auto left = static_cast<std::size_t>(in_force.Allowed(use)) - 1;
+  const time_point since =
+      sends.size() <= left
+          ? sends.back()
+          : std::max(sends.back(), sends[sends.size() - 1 - left] + in_force.window);
   return std::max(duration::zero(), now - since);
 }
 
+duration rate_limit::UnusedRoomAge(time_point now, limit_use use) const {
+  duration age = kMaxWindow;
+  for (const std::optional<bound>& in_force : {StatedBound(), ColdBound()}) {
+    age = in_force ? std::min(age, UnusedRoomAge(now, *in_force, use)) : age;
+  }
+  return age;
+}
+
 duration rate_limit::TimeToRoom(time_point now, limit_use use) const {
-  const double missing = 1 - Room(now, use);
-  return missing <= 0
-             ? duration::zero()
-             : std::chrono::ceil<duration>(std::chrono::duration<double>(missing / Rate()));
+  duration time = duration::zero();
+  for (const std::optional<bound>& in_force : {StatedBound(), ColdBound()}) {
+    const double missing = in_force ? 1 - Room(now, *in_force, use) : 0;
+    if (missing > 0) {
+      const std::chrono::duration<double> wait(missing / in_force->per_second);
+      time = std::max(time, std::chrono::ceil<duration>(wait));
+    }
+  }
+  return time;
 }
 
 }  // namespace tarragon::routing
--- a/tests/routing/evacuation_list_test.cc
+++ b/tests/routing/evacuation_list_test.cc
@@ -91,7 +91,7 @@
   List("a2", "a");
   registry.Find("b1")->own_load.requests = 24;
   EXPECT_EQ(Pick(), "b1");
-  registry.EndEvacuation(++version, "a");
+  registry.EndEvacuation(kStart, ++version, "a");
   EXPECT_EQ(Pick().front(), 'a');
 }
 
