--- a/include/tarragon/routing/used_endpoints.h
+++ b/include/tarragon/routing/used_endpoints.h
@@ -11,7 +11,7 @@
 namespace tarragon::routing {
 
 /** @return whether this daemon has anything to tell other daemons about the endpoint. */
-bool HasOwnReport(const endpoint& known);
+bool HasOwnReport(time_point now, const endpoint& known);
 
 /**
  * Keeps the endpoints about which this daemon may have something to tell. A daemon of a large fleet
@@ -39,7 +39,7 @@
   std::size_t size() const { return endpoints_.size(); }
 
  private:
-  void Scan(const endpoint_registry& registry);
+  void Scan(time_point now, const endpoint_registry& registry);
 
   /** Ordered by address of the object, without duplicates. */
   std::vector<endpoint_ptr> endpoints_;
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -77,6 +77,7 @@
   evidence.Apply(now, endpoints);
   evidence.Validate();
   endpoints.RemoveMissing(now);
+  endpoints.EndColdStarts(now);
   endpoints.ValidateChanges();
   endpoints.evacuations().Validate();
   quarantine.Expire(now);
@@ -88,18 +89,21 @@
   std::size_t leaving = 0;
   std::size_t paused = 0;
   std::size_t evacuated = 0;
+  std::size_t cold = 0;
   std::size_t unreachable = 0;
   for (const routing::endpoint_ptr& known : endpoints.all() | std::views::values) {
     limited += known->limit.is_limited() ? 1 : 0;
     leaving += known->leaving ? 1 : 0;
     paused += known->pause.IsPaused(now) ? 1 : 0;
     evacuated += known->evacuated ? 1 : 0;
+    cold += known->limit.is_cold() ? 1 : 0;
     unreachable += known->unreachable ? 1 : 0;
   }
   set("tarragon_gateway_limited_endpoints", limited);
   set("tarragon_gateway_leaving_endpoints", leaving);
   set("tarragon_gateway_paused_endpoints", paused);
   set("tarragon_gateway_evacuated_endpoints", evacuated);
+  set("tarragon_gateway_cold_endpoints", cold);
   set("tarragon_gateway_unreachable_endpoints", unreachable);
   set("tarragon_gateway_used_endpoints", used_endpoints.size());
   set("tarragon_gateway_quarantined_traits", quarantine.quarantined_count());
--- a/src/gateway/load_relay.cc
+++ b/src/gateway/load_relay.cc
@@ -267,7 +267,7 @@
   std::vector<routing::endpoint_load_report> reports;
   for (const routing::endpoint_ptr& known :
        gateway_.used_endpoints.Collect(now, gateway_.endpoints)) {
-    if (!routing::HasOwnReport(*known)) {
+    if (!routing::HasOwnReport(now, *known)) {
       continue;
     }
     routing::endpoint_load_report report = MakeLoadReport(now, *known);
--- a/src/routing/used_endpoints.cc
+++ b/src/routing/used_endpoints.cc
@@ -7,9 +7,10 @@
 
 namespace tarragon::routing {
 
-bool HasOwnReport(const endpoint& known) {
+bool HasOwnReport(time_point now, const endpoint& known) {
   return known.own_load != endpoint_load{} || known.event_interval.OwnEstimate() ||
-         known.slowness.OwnMinimum() || known.limit.statement().revision > 0;
+         known.slowness.OwnMinimum() || known.limit.statement().revision > 0 ||
+         known.limit.OwnSends(now) > 0;
 }
 
 void used_endpoints::Add(const endpoint_ptr& target) {
@@ -23,17 +24,17 @@
                                                          const endpoint_registry& registry) {
   if (registry.all().size() <= kMaxScannedEachTime || now >= next_scan_) {
     next_scan_ = now + kScanInterval;
-    Scan(registry);
+    Scan(now, registry);
   } else {
     std::erase_if(endpoints_, [](const endpoint_ptr& known) { return !known->listed; });
   }
   return endpoints_;
 }
 
-void used_endpoints::Scan(const endpoint_registry& registry) {
+void used_endpoints::Scan(time_point now, const endpoint_registry& registry) {
   endpoints_.clear();
   std::ranges::copy_if(registry.all() | std::views::values, std::back_inserter(endpoints_),
-                       [](const endpoint_ptr& known) { return HasOwnReport(*known); });
+                       [now](const endpoint_ptr& known) { return HasOwnReport(now, *known); });
   std::ranges::sort(endpoints_);
 }
 
