--- a/include/tarragon/settings/gateway_settings.h
+++ b/include/tarragon/settings/gateway_settings.h
@@ -2,6 +2,7 @@
 #define TARRAGON_SETTINGS_GATEWAY_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -37,6 +38,13 @@
   double retry_slack = 0;
   std::chrono::milliseconds retry_window{10000};
 
+  /** Memory of the VM in bytes, of which callers may use a share; 0 for no limit. */
+  std::size_t memory_bytes = 0;
+  /** File descriptors that the VM allows, including those that are not sockets; 0 for no limit. */
+  std::size_t descriptors = 0;
+  /** Maximum number of header lines of a message; 0 for as many as its bytes allow. */
+  std::size_t header_lines = 0;
+
   /**
    * Parses and validates settings.
    * @param file file name for error messages.
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -16,6 +16,25 @@
   value = std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
 }
 
+/** Reads a number of things of which 0 means no limit. */
+void ReadLimit(settings_table& table,
+               std::string_view key,
+               std::int64_t max,
+               std::int64_t unit,
+               std::size_t& value) {
+  std::int64_t number = 0;
+  table.Integer(key, 0, max, number);
+  value = static_cast<std::size_t>(number * unit);
+}
+
+void ReadLimits(settings_table& limits, gateway_settings& settings) {
+  constexpr std::int64_t kMegabyte = std::int64_t{1} << 20;
+  ReadLimit(limits, "memory_mb", kMegabyte, kMegabyte, settings.memory_bytes);
+  ReadLimit(limits, "descriptors", 10'000'000, 1, settings.descriptors);
+  ReadLimit(limits, "header_lines", 1'000'000, 1, settings.header_lines);
+  limits.ReportUnknownKeys();
+}
+
 void ReadAll(const toml::table& root, gateway_settings& settings, error_list& errors) {
   settings_table top(&root, "", errors);
   const auto child = [&](std::string_view key) {
@@ -50,6 +69,9 @@
   retries.Number("slack", key_presence::kOptional, 0, 1'000'000, settings.retry_slack);
   ReadSeconds(retries, "window_s", settings.retry_window);
   retries.ReportUnknownKeys();
+
+  settings_table limits = child("limits");
+  ReadLimits(limits, settings);
   top.ReportUnknownKeys();
 }
 
--- a/tests/settings/gateway_settings_test.cc
+++ b/tests/settings/gateway_settings_test.cc
@@ -36,6 +36,19 @@
   EXPECT_EQ(settings->retry_slack, 54);
 }
 
+// Guards against limits in megabytes that are taken for bytes, and against limits that nobody set.
+TEST(GatewaySettingsTest, ReadsLimits) {
+  std::vector<std::string> errors;
+  const auto without = gateway_settings::Make(kValid, "f", &errors);
+  ASSERT_TRUE(without);
+  EXPECT_EQ(without->memory_bytes, 0U);
+  const auto limited = gateway_settings::Make(
+      std::string(kValid) + "[limits]\nmemory_mb = 88\ndescriptors = 4100\n", "f", &errors);
+  ASSERT_TRUE(limited) << errors.front();
+  EXPECT_EQ(limited->memory_bytes, std::size_t{88} << 20);
+  EXPECT_EQ(limited->descriptors, 4100U);
+}
+
 // Guards against a process that starts with unknown or missing settings.
 TEST(GatewaySettingsTest, RejectsUnknownAndMissingKeys) {
   std::vector<std::string> errors;
