--- a/cmake/TarragonTargets.cmake
+++ b/cmake/TarragonTargets.cmake
@@ -1,11 +1,13 @@
 # Functions that declare a library with its tests and benches, or a program, from the sources of a
 # folder, so that a new source file needs no change in CMake.
 
-# tarragon_library(<name> [FOLDER <folder>] [DEPS <targets>...] [TEST_DEPS <targets>...])
+# tarragon_library(<name> [FOLDER <folder>] [DEPS <targets>...] [TEST_DEPS <targets>...]
+#                  [SERIAL_TESTS <gtest filter>])
 # Declares tarragon_<name> from src/<name>/*.cc, or from <folder>/*.cc, whose headers are then public.
-# Tests: tests/<name>/*_test.cc. Benches: bench/<name>/*_bench.cc.
+# Tests: tests/<name>/*_test.cc; CTest runs those of SERIAL_TESTS while no other test runs.
+# Benches: bench/<name>/*_bench.cc.
 function(tarragon_library name)
-  cmake_parse_arguments(ARG "" "FOLDER" "DEPS;TEST_DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "" "FOLDER;SERIAL_TESTS" "DEPS;TEST_DEPS" ${ARGN})
   set(folder src/${name})
   if(ARG_FOLDER)
     set(folder ${ARG_FOLDER})
@@ -38,7 +40,14 @@
                                                     ${PROJECT_SOURCE_DIR}/src)
     target_link_libraries(${name}_test PRIVATE ${target} ${ARG_TEST_DEPS} rapidcheck
                                                GTest::gmock GTest::gtest_main)
-    gtest_discover_tests(${name}_test TEST_PREFIX ${name}. PROPERTIES TIMEOUT 300
+    set(filter)
+    if(ARG_SERIAL_TESTS)
+      set(filter TEST_FILTER "-${ARG_SERIAL_TESTS}")
+      gtest_discover_tests(${name}_test TEST_PREFIX ${name}. TEST_FILTER "${ARG_SERIAL_TESTS}"
+                           TEST_LIST ${name}_serial_tests
+                           PROPERTIES TIMEOUT 300 RUN_SERIAL ON DISCOVERY_TIMEOUT 60)
+    endif()
+    gtest_discover_tests(${name}_test TEST_PREFIX ${name}. ${filter} PROPERTIES TIMEOUT 300
                          DISCOVERY_TIMEOUT 60)
   endif()
 
--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -63,8 +63,9 @@
     AddEndpoint(std::string(kPlain));
   }
   for (std::size_t i = 0; i < options_.gateways; ++i) {
-    gateways_.push_back(std::make_unique<gateway_child>(gateway_options{
-        fmt::format("vm-{}", i), fmt::format("domain-{}", i % 3), store_.address(), folder_}));
+    gateways_.push_back(std::make_unique<gateway_child>(
+        gateway_options{fmt::format("vm-{}", i), fmt::format("domain-{}", i % 3), store_.address(),
+                        folder_, options_.further_settings}));
     gateways_.back()->Start();
   }
 }
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -29,6 +29,8 @@
   std::chrono::milliseconds engine_restart{1500};
   /** Time between two events of an engine's streams. */
   std::chrono::milliseconds event_interval{5};
+  /** Further tables of each gateway's settings file. */
+  std::string further_settings;
   std::uint64_t seed = 1;
 };
 
--- a/tests/emulator/gateway_child.cc
+++ b/tests/emulator/gateway_child.cc
@@ -75,9 +75,9 @@
       "[vm]\nname = \"{}\"\nfailure_domain = \"{}\"\n"
       "[listen]\ncallers = \"{}\"\nreadiness = \"{}\"\npeers = \"{}\"\n"
       "[store]\naddress = \"{}\"\n[shutdown]\ngrace_s = 8\n"
-      "[retries]\nshare = 0.2\nslack = 60\nwindow_s = 10\n",
+      "[retries]\nshare = 0.2\nslack = 60\nwindow_s = 10\n{}",
       options_.name, options_.failure_domain, callers_address_, readiness_address_, addresses[2],
-      options_.store_address);
+      options_.store_address, options_.further_settings);
 }
 
 gateway_child::~gateway_child() {
--- a/tests/emulator/gateway_child.h
+++ b/tests/emulator/gateway_child.h
@@ -13,6 +13,8 @@
   std::string store_address;
   /** Folder for the settings file and the log. */
   std::string folder;
+  /** Further tables of the settings file. */
+  std::string further_settings = {};
 };
 
 /** A real `tarragon-gateway` process, killed when this object is destroyed. */
@@ -31,6 +33,8 @@
   void Kill();
   /** @return whether the process has exited; `exit_status` is then valid. */
   bool HasExited();
+  /** @return id of the process; 0 if it is not running. */
+  pid_t process() const { return process_; }
   int exit_status() const { return exit_status_; }
 
   const std::string& callers_address() const { return callers_address_; }
