Bound the bytes and lines of heads, and store headers compactly

Now the bytes of the headers are counted as they arrive, with separators and line ends, and the number of lines is bounded; by default by as many as the bytes can hold, so that no request within the operator's limits is refused. header_list keeps all headers in one buffer, 6 bytes beside each name and value; Find returns an optional view.

--- a/include/tarragon/http/message_reader.h
+++ b/include/tarragon/http/message_reader.h
@@ -44,7 +44,9 @@
   kNone,
   /** The bytes are not a valid HTTP/1.1 message, or switch to another protocol. */
   kMalformed,
+  /** The start line, or the headers with separators and line ends, have too many bytes. */
   kHeaderTooLarge,
+  kTooManyHeaders,
 };
 
 /**
@@ -53,8 +55,19 @@
  */
 class message_reader final {
  public:
-  /** @param listener must outlive the reader. @param max_header_bytes maximum size of a head. */
-  message_reader(message_kind kind, message_listener& listener, std::size_t max_header_bytes);
+  /** Size of the shortest header line, `a:` and its line end. */
+  static constexpr std::size_t kMinHeaderLineBytes = 4;
+
+  /**
+   * @param listener must outlive the reader.
+   * @param max_header_bytes maximum size of the headers with their line ends, and of the start
+   * line.
+   * @param max_header_lines maximum number of headers; 0 for as many as these bytes can hold.
+   */
+  message_reader(message_kind kind,
+                 message_listener& listener,
+                 std::size_t max_header_bytes,
+                 std::size_t max_header_lines = 0);
   ~message_reader();
 
   /** Declares that the next response answers a HEAD request: it has no body despite its headers. */
@@ -76,6 +89,8 @@
   reader_error error() const;
   /** @return whether a message has begun and not ended. */
   bool is_inside_message() const;
+  /** @return memory in bytes that the head occupies while it is read. */
+  std::size_t held_bytes() const;
 
   /** Public because the parser callbacks in the source file use it. */
   struct state;
--- a/src/gateway/endpoint_request.cc
+++ b/src/gateway/endpoint_request.cc
@@ -13,8 +13,8 @@
 
 /** Chunked bodies have been received in full and are sent with a Content-Length. */
 bool HasBody(const caller_request& request) {
-  return !request.body.empty() || request.head.headers.Find("Content-Length") != nullptr ||
-         request.head.headers.Find("Transfer-Encoding") != nullptr;
+  return !request.body.empty() || request.head.headers.Find("Content-Length") ||
+         request.head.headers.Find("Transfer-Encoding");
 }
 
 }  // namespace
--- a/src/gateway/endpoint_statements.cc
+++ b/src/gateway/endpoint_statements.cc
@@ -22,7 +22,7 @@
                      std::string_view request_id) {
   const std::optional<double> per_second = gateway.adapter.ReadRateLimit(head.headers);
   // Only the endpoint itself can say that it is no longer limited, not a proxy before it.
-  if (!per_second && head.headers.Find(gateway.adapter.names().signature) == nullptr) {
+  if (!per_second && !head.headers.Find(gateway.adapter.names().signature)) {
     return;
   }
   if (target.limit.RecordAnswer(per_second) != routing::limit_change::kNone) {
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -25,8 +25,8 @@
 /** Factor on the caller's estimate, which half of all outputs exceed. */
 constexpr double kOutputMargin = 1.3;
 
-std::optional<std::int64_t> ParseInteger(const std::string* text) {
-  if (text == nullptr) {
+std::optional<std::int64_t> ParseInteger(std::optional<std::string_view> text) {
+  if (!text) {
     return std::nullopt;
   }
   std::int64_t value = 0;
@@ -40,11 +40,8 @@
 }
 
 std::string_view HostOf(const http::header_list& headers) {
-  const std::string* host = headers.Find("Host");
-  if (host == nullptr) {
-    return {};
-  }
-  return std::string_view(*host).substr(0, host->rfind(':'));
+  const std::string_view host = headers.Find("Host").value_or("");
+  return host.substr(0, host.rfind(':'));
 }
 
 std::uint32_t PredictedOutput(const generation_size& stated_size) {
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -93,7 +93,7 @@
 }
 
 void request_handler::Start() {
-  if (const std::string* value = request_.head.headers.Find(gateway_.adapter.names().request_id)) {
+  if (const auto value = request_.head.headers.Find(gateway_.adapter.names().request_id)) {
     id_ = *value;
   }
   auto admission = AdmitRequest(gateway_, request_, id_);
@@ -303,8 +303,8 @@
 }
 
 bool request_handler::IsResponseToThisRequest(const http::message_head& head) const {
-  const std::string* echoed = head.headers.Find(gateway_.adapter.names().request_id);
-  return echoed == nullptr || *echoed == id_;
+  const auto echoed = head.headers.Find(gateway_.adapter.names().request_id);
+  return !echoed || *echoed == id_;
 }
 
 void request_handler::OnResponseHead(http::message_head head) {
@@ -321,8 +321,9 @@
   if (!success) {
     return;
   }
-  const bool trusted = response_head_.headers.Find(gateway_.adapter.names().signature) != nullptr &&
-                       response_head_.headers.Find("Content-Encoding") == nullptr;
+  const bool trusted =
+      response_head_.headers.Find(gateway_.adapter.names().signature).has_value() &&
+      !response_head_.headers.Find("Content-Encoding");
   if (!trusted) {
     HandleSendFailure(routing::send_failure::kBadAnswer, run_verdict::kMayHaveRun);
     return;
@@ -454,10 +455,10 @@
 void request_handler::FinishBufferedResponse() {
   const header_names& names = gateway_.adapter.names();
   const bool states_not_run = response_head_.status == kMisdirected ||
-                              response_head_.headers.Find(names.not_run) != nullptr;
+                              response_head_.headers.Find(names.not_run).has_value();
   // A refusal that names no request may be that of another one.
   const bool names_request =
-      id_.empty() || response_head_.headers.Find(names.request_id) != nullptr;
+      id_.empty() || response_head_.headers.Find(names.request_id).has_value();
   if (states_not_run && names_request) {
     HandleSendFailure(routing::send_failure::kDeclined, run_verdict::kNotRun);
     return;
--- a/src/http/message_reader.cc
+++ b/src/http/message_reader.cc
@@ -23,8 +23,11 @@
 }  // namespace
 
 struct message_reader::state {
-  state(message_kind message, message_listener& receiver, std::size_t header_bound)
-      : listener(receiver), max_header_bytes(header_bound) {
+  state(message_kind message,
+        message_listener& receiver,
+        std::size_t header_bound,
+        std::size_t line_bound)
+      : listener(receiver), max_header_bytes(header_bound), max_header_lines(line_bound) {
     http_parser_init(&parser, message == message_kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     parser.data = this;
   }
@@ -39,25 +42,48 @@
       // A proxy removes blanks before the colon of a response's header (RFC 9112, 5.1).
       name.erase(name.find_last_not_of(" \t") + 1);
     }
-    const bool is_token = IsToken(name);
-    head.headers.Add(std::exchange(name, {}), std::exchange(value, {}));
-    return is_token;
+    if (!IsToken(name) || name.size() > header_list::kMaxNameBytes) {
+      return false;
+    }
+    if (++header_lines > max_header_lines) {
+      error = reader_error::kTooManyHeaders;
+      return false;
+    }
+    head.headers.Add(name, value);
+    name.clear();
+    value.clear();
+    return true;
   }
 
-  /** Counts bytes of the head. @return 1 to stop the parser if the head is too large, else 0. */
-  int CountHeaderBytes(std::size_t bytes) {
-    header_bytes += bytes;
-    if (header_bytes <= max_header_bytes) {
+  /** Counts trailers, which are not kept. @return 1 to stop the parser if they are too large. */
+  int CountTrailerBytes(std::size_t bytes) {
+    trailer_bytes += bytes;
+    if (trailer_bytes <= max_header_bytes) {
       return 0;
     }
     error = reader_error::kHeaderTooLarge;
     return 1;
   }
 
+  /** The bytes of the start line and those of the headers are counted apart, as they arrive. */
+  std::size_t& CountedBytes() { return headers_begun ? header_bytes : start_line_bytes; }
+
+  std::size_t Parse(std::string_view bytes);
+  void PrepareForNextMessage();
+
   http_parser parser{};
   message_listener& listener;
   std::size_t max_header_bytes;
+  std::size_t max_header_lines;
+  std::size_t start_line_bytes = 0;
   std::size_t header_bytes = 0;
+  std::size_t header_lines = 0;
+  std::size_t trailer_bytes = 0;
+  /** Start of the bytes that are being parsed. */
+  const char* parsed = nullptr;
+  /** Offset in these of the first header, if it begins there. */
+  std::size_t headers_offset = 0;
+  bool headers_begun = false;
   message_head head;
   std::string name;
   std::string value;
@@ -80,47 +106,44 @@
 int OnBegin(http_parser* parser) {
   reader_state& state = GetState(parser);
   state.inside_message = true;
-  state.head = {};
-  state.header_bytes = 0;
-  state.has_head = false;
-  state.name.clear();
-  state.value.clear();
-  state.in_value = false;
   return 0;
 }
 
 int OnUrl(http_parser* parser, const char* at, std::size_t length) {
   reader_state& state = GetState(parser);
   state.head.target.append(at, length);
-  return state.CountHeaderBytes(length);
+  return 0;
 }
 
 int OnStatus(http_parser* parser, const char* at, std::size_t length) {
   reader_state& state = GetState(parser);
   state.head.reason.append(at, length);
-  return state.CountHeaderBytes(length);
+  return 0;
 }
 
 int OnHeaderField(http_parser* parser, const char* at, std::size_t length) {
   reader_state& state = GetState(parser);
   if (state.has_head) {
-    return state.CountHeaderBytes(length);
+    return state.CountTrailerBytes(length);
+  }
+  if (!std::exchange(state.headers_begun, true)) {
+    state.headers_offset = static_cast<std::size_t>(at - state.parsed);
   }
   if (state.in_value && !state.FinishHeader()) {
     return 1;
   }
   state.name.append(at, length);
-  return state.CountHeaderBytes(length);
+  return 0;
 }
 
 int OnHeaderValue(http_parser* parser, const char* at, std::size_t length) {
   reader_state& state = GetState(parser);
   if (state.has_head) {
-    return state.CountHeaderBytes(length);
+    return state.CountTrailerBytes(length);
   }
   state.in_value = true;
   state.value.append(at, length);
-  return state.CountHeaderBytes(length);
+  return 0;
 }
 
 /** @return whether the message itself delimits its body (RFC 9112, 6.3). */
@@ -151,6 +174,8 @@
     return kReject;
   }
   state.has_head = true;
+  state.name = {};
+  state.value = {};
   // An upgrade that a request offers may be ignored (RFC 9110, 7.8).
   parser->upgrade = 0;
   message_head& head = state.head;
@@ -175,6 +200,7 @@
   reader_state& state = GetState(parser);
   state.inside_message = false;
   state.expect_no_body = false;
+  state.PrepareForNextMessage();
   http_parser_pause(parser, 1);
   state.listener.OnMessageEnd();
   return 0;
@@ -199,10 +225,51 @@
 
 }  // namespace
 
+void message_reader::state::PrepareForNextMessage() {
+  head = {};
+  start_line_bytes = header_bytes = header_lines = trailer_bytes = 0;
+  headers_begun = false;
+  has_head = false;
+  in_value = false;
+}
+
+/**
+ * Parses a part of the bytes. While a head is read, the part ends where the head would be too
+ * large, so that the result does not depend on how the network splits the bytes.
+ * @return number of bytes consumed.
+ */
+std::size_t message_reader::state::Parse(std::string_view bytes) {
+  const bool in_head = !has_head;
+  if (in_head) {
+    bytes = bytes.substr(0, max_header_bytes - CountedBytes());
+  }
+  parsed = bytes.data();
+  const bool had_begun = headers_begun;
+  const std::size_t consumed =
+      http_parser_execute(&parser, &Callbacks(), bytes.data(), bytes.size());
+  const auto code = HTTP_PARSER_ERRNO(&parser);
+  if (code != HPE_OK && code != HPE_PAUSED && error == reader_error::kNone) {
+    error = code == HPE_HEADER_OVERFLOW ? reader_error::kHeaderTooLarge : reader_error::kMalformed;
+  }
+  if (in_head && !has_head && code == HPE_OK) {
+    const bool begins_here = headers_begun && !had_begun;
+    CountedBytes() += consumed - (begins_here ? headers_offset : 0);
+    if (CountedBytes() >= max_header_bytes) {
+      error = reader_error::kHeaderTooLarge;
+    }
+  }
+  return consumed;
+}
+
 message_reader::message_reader(message_kind kind,
                                message_listener& listener,
-                               std::size_t max_header_bytes)
-    : state_(std::make_unique<state>(kind, listener, max_header_bytes)) {}
+                               std::size_t max_header_bytes,
+                               std::size_t max_header_lines)
+    : state_(std::make_unique<state>(
+          kind,
+          listener,
+          max_header_bytes,
+          max_header_lines > 0 ? max_header_lines : max_header_bytes / kMinHeaderLineBytes)) {}
 
 message_reader::~message_reader() = default;
 
@@ -211,21 +278,14 @@
 }
 
 std::size_t message_reader::Feed(std::string_view bytes) {
-  if (state_->error != reader_error::kNone || bytes.empty()) {
-    return 0;
-  }
   http_parser& parser = state_->parser;
   if (HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED) {
     http_parser_pause(&parser, 0);
   }
-  const std::size_t consumed =
-      http_parser_execute(&parser, &Callbacks(), bytes.data(), bytes.size());
-  const auto code = HTTP_PARSER_ERRNO(&parser);
-  if (code != HPE_OK && code != HPE_PAUSED) {
-    const bool too_large = code == HPE_HEADER_OVERFLOW;
-    if (state_->error == reader_error::kNone) {
-      state_->error = too_large ? reader_error::kHeaderTooLarge : reader_error::kMalformed;
-    }
+  std::size_t consumed = 0;
+  while (consumed < bytes.size() && state_->error == reader_error::kNone &&
+         HTTP_PARSER_ERRNO(&parser) == HPE_OK) {
+    consumed += state_->Parse(bytes.substr(consumed));
   }
   return consumed;
 }
@@ -253,4 +313,9 @@
   return state_->inside_message;
 }
 
+std::size_t message_reader::held_bytes() const {
+  return state_->head.headers.held_bytes() + state_->head.target.capacity() +
+         state_->name.capacity() + state_->value.capacity();
+}
+
 }  // namespace tarragon::http
--- a/tests/emulator/caller.cc
+++ b/tests/emulator/caller.cc
@@ -76,10 +76,9 @@
 void caller::OnResponseHead(http::message_head head) {
   status_ = head.status;
   const auto value_of = [&head](std::string_view name) {
-    const std::string* value = head.headers.Find(name);
-    return value == nullptr ? std::string() : *value;
+    return std::string(head.headers.Find(name).value_or(""));
   };
-  has_signature_ = head.headers.Find("Response-Signature") != nullptr;
+  has_signature_ = head.headers.Find("Response-Signature").has_value();
   endpoint_ = value_of("Response-Signature");
   heard_leaving_ = !value_of("Server-Leaving").empty();
   retry_after_ = value_of("Retry-After");
--- a/tests/emulator/http_service.cc
+++ b/tests/emulator/http_service.cc
@@ -33,8 +33,7 @@
 }  // namespace
 
 std::string incoming_request::Header(std::string_view name) const {
-  const std::string* value = head.headers.Find(name);
-  return value == nullptr ? std::string() : *value;
+  return std::string(head.headers.Find(name).value_or(""));
 }
 
 std::string incoming_request::Query(std::string_view name) const {
--- a/tests/gateway/endpoint_statements_test.cc
+++ b/tests/gateway/endpoint_statements_test.cc
@@ -101,8 +101,8 @@
   const recording_response_writer refused = Call();
   EXPECT_LT(time.Now() - start, std::chrono::milliseconds(50));
   EXPECT_EQ(refused.status, 503);
-  ASSERT_NE(refused.headers.Find("Retry-After"), nullptr);
-  EXPECT_GT(std::stod(*refused.headers.Find("Retry-After")), 0.3);
+  ASSERT_TRUE(refused.headers.Find("Retry-After"));
+  EXPECT_GT(std::stod(std::string(*refused.headers.Find("Retry-After"))), 0.3);
   EXPECT_EQ(paused.connections.size(), 1U);
 }
 
--- a/tests/gateway/request_handler_test.cc
+++ b/tests/gateway/request_handler_test.cc
@@ -46,7 +46,7 @@
   gateway.config = nullptr;
   const auto handler = Start("GET", "/safe/1");
   EXPECT_EQ(response.status, 503);
-  EXPECT_NE(response.headers.Find("Retry-After"), nullptr);
+  EXPECT_TRUE(response.headers.Find("Retry-After"));
 }
 
 // Guards against status 503, which invites retries, for a request whose route or API key is not in
@@ -481,7 +481,7 @@
   gateway.exit_at = time.Now() + std::chrono::seconds(7);
   const auto handler = Start("POST", "/report/1", "b", LongGeneration());
   EXPECT_EQ(response.status, 503);
-  EXPECT_NE(response.headers.Find("Retry-After"), nullptr);
+  EXPECT_TRUE(response.headers.Find("Retry-After"));
 }
 
 // Guards against admitting a call just before the process exits, which cuts it off (seen on
@@ -639,9 +639,9 @@
   ASSERT_TRUE(RunUntil([&] { return response.done(); }));
   EXPECT_EQ(response.status, 503);
   EXPECT_TRUE(engine.connections.empty());
-  const std::string* retry_after = response.headers.Find("Retry-After");
-  ASSERT_NE(retry_after, nullptr);
-  EXPECT_GT(std::stod(*retry_after), 0);
+  const std::optional<std::string_view> retry_after = response.headers.Find("Retry-After");
+  ASSERT_TRUE(retry_after);
+  EXPECT_GT(std::stod(std::string(*retry_after)), 0);
 }
 
 }  // namespace
--- a/tests/http/header_list_test.cc
+++ b/tests/http/header_list_test.cc
@@ -11,9 +11,9 @@
 TEST(HeaderListTest, NamesIgnoreCase) {
   header_list headers;
   headers.Add("Retry-After", "1");
-  ASSERT_NE(headers.Find("retry-after"), nullptr);
+  ASSERT_TRUE(headers.Find("retry-after"));
   headers.Remove("RETRY-AFTER");
-  EXPECT_EQ(headers.Find("Retry-After"), nullptr);
+  EXPECT_FALSE(headers.Find("Retry-After"));
 }
 
 // Guards against forwarding headers that `Connection` names, which would leak hop-by-hop state.
@@ -48,5 +48,25 @@
   EXPECT_FALSE(headers.HasToken("expect", "100"));
 }
 
+// Guards against a value, such as an id of the store, that ends its line and adds a header.
+TEST(HeaderListTest, ValuesCannotAddLines) {
+  header_list headers;
+  headers.Add("Expect-Instance", "i-1\r\nTenant: other");
+  std::string text;
+  headers.AppendTo(text);
+  EXPECT_EQ(text, "Expect-Instance: i-1  Tenant: other\r\n");
+  EXPECT_FALSE(headers.Find("Tenant"));
+}
+
+// Guards against a removal that leaves parts of a header, or takes its neighbours along.
+TEST(HeaderListTest, RemovesFirstMiddleAndLastHeader) {
+  header_list headers;
+  for (const std::string_view name : {"a", "b", "a", "c", "a"}) {
+    headers.Add(name, std::string(name) + ": 1");
+  }
+  headers.Remove("A");
+  EXPECT_EQ(headers.all(), (std::vector<header>{{"b", "b: 1"}, {"c", "c: 1"}}));
+}
+
 }  // namespace
 }  // namespace tarragon::http
--- a/tests/http/message_reader_test.cc
+++ b/tests/http/message_reader_test.cc
@@ -82,6 +82,43 @@
   EXPECT_EQ(reader.error(), reader_error::kHeaderTooLarge);
 }
 
+// Guards against heads of short lines that cost far more memory than the bytes that are counted.
+RC_GTEST_PROP(MessageReaderTest, CountsSeparatorsAndLineEnds, ()) {
+  const auto chunk_size = *rc::gen::inRange<std::size_t>(1, 2 * kMaxHeader);
+  std::string head = "GET / HTTP/1.1\r\n";
+  while (head.size() < 3 * kMaxHeader) {
+    head += "a:\r\n";
+  }
+  recorder received;
+  message_reader reader(message_kind::kRequest, received, kMaxHeader);
+  FeedAll(reader, head, chunk_size);
+  RC_ASSERT(reader.error() == reader_error::kHeaderTooLarge);
+  RC_ASSERT(reader.held_bytes() <= 3 * kMaxHeader);
+}
+
+// Guards against the refusal of a head that uses the bound to the last byte.
+TEST(MessageReaderTest, ServesShortestLinesUpToTheBound) {
+  std::string lines;
+  while (lines.size() + 6 <= kMaxHeader) {
+    lines += "a:\r\n";
+  }
+  recorder received;
+  message_reader reader(message_kind::kRequest, received, kMaxHeader);
+  FeedAll(reader, "GET / HTTP/1.1\r\n" + lines + "\r\n", 512);
+  EXPECT_EQ(reader.error(), reader_error::kNone);
+  ASSERT_EQ(received.messages.size(), 1U);
+  EXPECT_EQ(received.messages[0].head.headers.all().size(), lines.size() / 4);
+}
+
+// Guards against more lines than the operator allows.
+TEST(MessageReaderTest, BoundsHeaderLines) {
+  recorder received;
+  message_reader reader(message_kind::kRequest, received, kMaxHeader, 3);
+  FeedAll(reader, "GET / HTTP/1.1\r\na: 1\r\na: 2\r\na: 3\r\na: 4\r\n\r\n", 512);
+  EXPECT_EQ(reader.error(), reader_error::kTooManyHeaders);
+  EXPECT_TRUE(received.messages.empty());
+}
+
 // Guards against treating a response without a length as complete before its connection ends.
 TEST(MessageReaderTest, UndelimitedResponseEndsWithConnection) {
   recorder received;
@@ -140,7 +177,7 @@
   message_reader reader(message_kind::kResponse, received, kMaxHeader);
   FeedAll(reader, "HTTP/1.1 200 OK\r\nAttempt-Id : 1\r\nContent-Length: 0\r\n\r\n", 512);
   ASSERT_EQ(received.messages.size(), 1U);
-  EXPECT_NE(received.messages[0].head.headers.Find("Attempt-Id"), nullptr);
+  EXPECT_TRUE(received.messages[0].head.headers.Find("Attempt-Id"));
 }
 
 // Guards against a request that is started and then rejected because it offers an upgrade.
