--- a/tests/emulator/ended_endpoint_test.cc
+++ b/tests/emulator/ended_endpoint_test.cc
@@ -49,8 +49,9 @@
   return count;
 }
 
-// Guards against every gateway finding out for itself, once a second, that an endpoint has ended
-// while the store is away, and against callers that pay for it.
+// Guards against gateways that connect again and again to an endpoint that has ended while the
+// store is away, and against callers that pay for it. The share of what gateways tell each other is
+// checked in endpoint_evidence_test.cc.
 TEST(EndedEndpointTest, GatewaysTellEachOtherWithoutTheStore) {
   constexpr seconds kOutage{5};
   fleet_emulator fleet(Options(1));
@@ -69,7 +70,7 @@
       seconds(10)));
   const std::ptrdiff_t refused = CountRefusedConnections(fleet, ended);
   EXPECT_GE(refused, 1);
-  // Two for each gateway; one that asks nobody tries once a second.
+  // Two for each gateway.
   EXPECT_LE(refused, 2 * static_cast<std::ptrdiff_t>(fleet.gateway_count()));
   EXPECT_EQ(fleet.DescribeViolations(), "");
 }
