--- a/include/tarragon/gateway/memory_budget.h
+++ b/include/tarragon/gateway/memory_budget.h
@@ -35,6 +35,14 @@
   std::size_t connections = 0;
 };
 
+/**
+ * @param memory_bytes memory of the VM; 0 for no limit.
+ * @param descriptors file descriptors that the VM allows; 0 for no limit.
+ * @return the shares that callers may hold; the rest is for endpoints, peers, the store and the
+ *     program.
+ */
+memory_budget_options MakeBudgetOptions(std::size_t memory_bytes, std::size_t descriptors);
+
 /**
  * Budget over all caller connections of a process, against callers that together send, or leave
  * unread, more than the VM's memory. Decides which connections are not read and which are closed;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -85,19 +85,6 @@
   return options;
 }
 
-/** The rest of the VM's memory and descriptors is for endpoints, peers, the store and the program.
- */
-memory_budget_options MakeMemoryOptions(const settings::gateway_settings& settings) {
-  constexpr double kMemoryShare = 0.35;
-  constexpr double kSocketShare = 0.75;
-  constexpr std::size_t kReservedDescriptors = 200;
-  const std::size_t sockets =
-      settings.descriptors - std::min(settings.descriptors, kReservedDescriptors);
-  return {
-      .bytes = static_cast<std::size_t>(kMemoryShare * static_cast<double>(settings.memory_bytes)),
-      .connections = static_cast<std::size_t>(kSocketShare * static_cast<double>(sockets))};
-}
-
 std::uint64_t MakeRandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) | device();
@@ -181,7 +168,7 @@
     shared.random.seed(MakeRandomSeed());
     ApplyRetrySettings();
     shared.max_header_lines = settings.header_lines;
-    shared.memory.SetOptions(MakeMemoryOptions(settings));
+    shared.memory.SetOptions(MakeBudgetOptions(settings.memory_bytes, settings.descriptors));
     shared.endpoints.SetLeavingListener(
         [this](const routing::endpoint_ptr& endpoint, routing::leaving_source source) {
           OnEndpointLeaving(endpoint, source);
--- a/src/gateway/memory_budget.cc
+++ b/src/gateway/memory_budget.cc
@@ -8,6 +8,16 @@
 
 namespace tarragon::gateway {
 
+memory_budget_options MakeBudgetOptions(std::size_t memory_bytes, std::size_t descriptors) {
+  constexpr double kMemoryShare = 0.35;
+  constexpr double kSocketShare = 0.75;
+  /** The platform keeps these for files. */
+  constexpr std::size_t kReservedDescriptors = 200;
+  const std::size_t sockets = descriptors - std::min(descriptors, kReservedDescriptors);
+  return {.bytes = static_cast<std::size_t>(kMemoryShare * static_cast<double>(memory_bytes)),
+          .connections = static_cast<std::size_t>(kSocketShare * static_cast<double>(sockets))};
+}
+
 memory_budget::connection_id memory_budget::Open(time_point now) {
   const connection_id id = ++last_id_;
   accounts_.emplace(id, account{{}, now});
