--- a/tests/emulator/gateway_child.cc
+++ b/tests/emulator/gateway_child.cc
@@ -90,11 +90,7 @@
       "[vm]\nname = \"{}\"\nfailure_domain = \"{}\"\n"
       "[listen]\ncallers = \"{}\"\nreadiness = \"{}\"\npeers = \"{}\"\n"
       "[store]\naddress = \"{}\"\n[shutdown]\ngrace_s = 8\n"
-      "[retries]
-share = 0.2
-slack = 60
-window_s = 10
-{}",
+      "[retries]\nshare = 0.2\nslack = 60\nwindow_s = 10\n{}",
       options_.name, options_.failure_domain, callers_address_, readiness_address_,
       AddressOf(reserved_[2]), options_.store_address, options_.further_settings);
 }
