--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -20,8 +20,6 @@
 #include "tarragon/gateway/event_log.h"
 #include "tarragon/gateway/memory_budget.h"
 #include "tarragon/gateway/platform_adapter.h"
-#include "tarragon/gateway/request_queue.h"
-#include "tarragon/routing/account_usage.h"
 #include "tarragon/routing/crash_quarantine.h"
 #include "tarragon/routing/endpoint_evidence.h"
 #include "tarragon/routing/endpoint_picker.h"
@@ -125,9 +123,6 @@
   std::unordered_map<std::string, routing::generation_pace> paces;
   /** Requests that wait for an endpoint with capacity or room, by service. */
   std::unordered_map<std::string, std::size_t> waiting_requests;
-  /** Generations that wait for an engine with capacity. */
-  request_queue capacity_queue;
-  routing::account_usage account_tokens;
   bool draining = false;
   /** The process writes its last responses and rejects new requests. */
   bool closing = false;
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -19,11 +19,9 @@
 #include "tarragon/gateway/generation_copies.h"
 #include "tarragon/gateway/http_exchange.h"
 #include "tarragon/gateway/request_admission.h"
-#include "tarragon/gateway/request_queue.h"
 #include "tarragon/gateway/response_writer.h"
 #include "tarragon/gateway/stream_progress.h"
 #include "tarragon/http/message_reader.h"
-#include "tarragon/routing/account_usage.h"
 #include "tarragon/routing/load_reservation.h"
 #include "tarragon/routing/overload_policy.h"
 #include "tarragon/routing/recovery_planner.h"
@@ -33,7 +31,6 @@
 
 /** Handles one request from its arrival to its final response. */
 class request_handler final : public exchange_listener,
-                              public queue_member,
                               public std::enable_shared_from_this<request_handler> {
  public:
   /** @param writer must stay valid until the response is complete or `OnCallerGone`. */
@@ -61,14 +58,7 @@
   void OnResponseEnd() override;
   void OnExchangeError(exchange_error error) override;
 
-  // queue_member:
-  void OnTurn() override;
-  bool IsWaiting() const override { return !finished_ && !exchange_; }
-  routing::queued_request DescribePlace() const override;
-
   void Dispatch();
-  /** Picks an endpoint and sends the request there, or lets it wait. */
-  void PickAndSend();
   /** Waits for an endpoint that accepts work, or refuses the request. */
   void WaitForEndpoint(const routing::pick_result& pick);
   /** Waits for an engine with capacity, or refuses the request. */
@@ -79,7 +69,6 @@
   void ExecuteWait(const routing::overload_decision& decision,
                    std::string_view reason,
                    const char* waits_counter);
-  void CountFirstWait(const char* waits_counter);
   void SetWaiting(bool is_waiting);
   /** @return estimated number of requests of all daemons that want the same room as this one. */
   double CountContenders() const;
@@ -144,7 +133,6 @@
   std::shared_ptr<http_exchange> exchange_;
   routing::endpoint_ptr target_;
   routing::load_reservation reservation_;
-  routing::account_usage::hold account_tokens_;
   time_point sent_at_;
   /** Head of the response, or its last event. */
   time_point last_progress_at_;
@@ -165,8 +153,6 @@
   /** The request has waited for an endpoint with capacity or room. */
   bool waited_ = false;
   bool is_waiting_ = false;
-  /** Start of the current wait. */
-  time_point waiting_since_;
   /** The engine with the copy to resume from has reached its limit. */
   bool awaits_copy_ = false;
   routing::room_contention contention_;
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -18,8 +18,7 @@
       time(clock_source),
       adapter(platform),
       log(event_logger),
-      counters(metrics_registry),
-      capacity_queue(event_loop, metrics_registry) {}
+      counters(metrics_registry) {}
 
 void gateway_state::SetBudgetOptions(const routing::send_budget_options& options) {
   budget_options_ = options;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -144,35 +144,6 @@
     ResumeFromCopy();
     return;
   }
-  const bool needs_engine = admitted_.service != nullptr && admitted_.service->engine;
-  if (needs_engine && !response_started_ &&
-      gateway_.capacity_queue.HasPredecessor(admitted_.service_name, DescribePlace())) {
-    WaitForCapacity();
-    return;
-  }
-  PickAndSend();
-}
-
-void request_handler::OnTurn() {
-  // One request must not end the turns of the others.
-  gateway_.RunGuarded("request", [this] {
-    if (RemainingTime() <= std::chrono::milliseconds(0) || crashes_.IsQuarantined()) {
-      Dispatch();
-    } else {
-      PickAndSend();
-    }
-  });
-}
-
-routing::queued_request request_handler::DescribePlace() const {
-  return {
-      .priority = admitted_.priority,
-      .age = gateway_.time.Now() - request_.received,
-      .latency_objective = admitted_.route->latency_objective,
-      .account_tokens = gateway_.account_tokens.Tokens(admitted_.service_name, admitted_.account)};
-}
-
-void request_handler::PickAndSend() {
   const routing::pick_request wanted = MakePickRequest();
   const routing::pick_result pick =
       gateway_.picker.Pick(gateway_.time.Now(), gateway_.endpoints, wanted);
@@ -221,8 +192,6 @@
                    .unread_tokens = copy ? 0 : admitted_.size.prompt_tokens,
                    .long_streams = is_long ? 1U : 0U}};
   gateway_.used_endpoints.Add(target_);
-  account_tokens_ = {gateway_.account_tokens, admitted_.service_name, admitted_.account,
-                     admitted_.size.tokens()};
   ++sends_;
   sent_at_ = last_progress_at_ = gateway_.time.Now();
   target_->limit.RecordSend(sent_at_);
@@ -280,25 +249,8 @@
 
 void request_handler::WaitForCapacity() {
   contention_.OnNoCapacity();
-  const routing::overload_decision decision = DecideWithoutCapacity(DescribeWait(), RandomPoint());
-  if (const auto* refusal = std::get_if<routing::refuse_for_overload>(&decision)) {
-    gateway_.counters
-        .Counter("tarragon_gateway_overload_refusals_total",
-                 fmt::format("priority=\"{}\"", admitted_.priority))
-        .Add();
-    FailRequest("overload", kBadGateway, refusal->retry_after);
-    return;
-  }
-  CountFirstWait("tarragon_gateway_capacity_waits_total");
-  SetWaiting(true);
-  gateway_.capacity_queue.Join(admitted_.service_name, shared_from_this(),
-                               std::get<routing::wait_for_capacity>(decision).delay);
-}
-
-void request_handler::CountFirstWait(const char* waits_counter) {
-  if (!std::exchange(waited_, true)) {
-    gateway_.counters.Counter(waits_counter).Add();
-  }
+  ExecuteWait(DecideWithoutCapacity(DescribeWait(), RandomPoint()), "overload",
+              "tarragon_gateway_capacity_waits_total");
 }
 
 void request_handler::WaitForRoom(duration time_to_room) {
@@ -316,7 +268,9 @@
     const char* waits_counter;
 
     void operator()(routing::wait_for_capacity wait) const {
-      handler.CountFirstWait(waits_counter);
+      if (!std::exchange(handler.waited_, true)) {
+        handler.gateway_.counters.Counter(waits_counter).Add();
+      }
       handler.SetWaiting(true);
       handler.DispatchAfter(wait.delay);
     }
@@ -329,15 +283,6 @@
 
 void request_handler::SetWaiting(bool is_waiting) {
   if (std::exchange(is_waiting_, is_waiting) != is_waiting) {
-    const time_point now = gateway_.time.Now();
-    if (is_waiting) {
-      waiting_since_ = now;
-    } else {
-      gateway_.counters
-          .Latency("tarragon_gateway_wait_seconds",
-                   fmt::format("priority=\"{}\"", admitted_.priority))
-          .Record(now - waiting_since_);
-    }
     std::size_t& count = gateway_.waiting_requests[admitted_.service_name];
     count = is_waiting ? count + 1 : count - 1;
   }
@@ -603,7 +548,6 @@
   copies_->EndSend();
   CloseExchange();
   reservation_.Release();
-  account_tokens_.Release();
   const routing::next_step step = PlanRecovery(Progress(), failure, verdict_);
   gateway_.log.LogRequest("send_failed", {{"request", id_},
                                           {"endpoint", target_->entry.id},
@@ -753,7 +697,6 @@
   CloseExchange();
   DropResponseBody();
   reservation_.Release();
-  account_tokens_.Release();
   timer_.cancel();
   writer_ = nullptr;
   gateway_.open_requests.erase(this);
