--- a/tests/gateway/endpoint_request_test.cc
+++ b/tests/gateway/endpoint_request_test.cc
@@ -13,7 +13,7 @@
 using testing::Not;
 using testing::StartsWith;
 
-caller_request Request(std::vector<http::header> headers, std::string body = {}) {
+caller_request Request(const std::vector<http::header>& headers, std::string body = {}) {
   caller_request request;
   request.head.method = "POST";
   request.head.target = "/a?b=1";
