--- a/tests/gateway/endpoint_request_test.cc
+++ b/tests/gateway/endpoint_request_test.cc
@@ -17,8 +17,8 @@
   caller_request request;
   request.head.method = "POST";
   request.head.target = "/a?b=1";
-  for (http::header& header : headers) {
-    request.head.headers.Add(std::move(header.name), std::move(header.value));
+  for (const http::header& header : headers) {
+    request.head.headers.Add(header.name, header.value);
   }
   request.body = std::move(body);
   return request;
--- a/tests/gateway/request_admission_test.cc
+++ b/tests/gateway/request_admission_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -13,13 +14,13 @@
 
 class request_admission_test : public gateway_fixture {
  protected:
-  caller_request Request(std::string target, std::string deadline) {
+  caller_request Request(std::string target, std::string_view deadline) {
     caller_request request;
     request.head.method = "POST";
     request.head.target = std::move(target);
     request.head.headers.Add("Host", "h:8080");
     request.head.headers.Add("Authorization", "Token key");
-    request.head.headers.Add("Deadline-Ms", std::move(deadline));
+    request.head.headers.Add("Deadline-Ms", deadline);
     request.head.headers.Add("Token-Usage", "3000,2000");
     request.head.headers.Add("Length-Hint", "500");
     request.received = time.Now();
--- a/tests/routing/evacuation_list_test.cc
+++ b/tests/routing/evacuation_list_test.cc
@@ -25,6 +25,7 @@
   };
   const auto states = *rc::gen::nonEmpty<std::vector<bool>>();
   std::vector<change> rows;
+  rows.reserve(states.size());
   for (const bool is_evacuated : states) {
     rows.push_back({rows.size() + 1, is_evacuated});
   }
