Log what a daemon waits for while it has lost the store, and whose rows it follows

No decision changes. dependency_regained gains lost_ms, failed_calls and last_wait_ms; config_in_force gains age_ms; relay_source is new. The three listeners that wrote the same lines share dependency_log. The fakes of two tests follow the changed signature.

--- a/include/tarragon/gateway/config_updater.h
+++ b/include/tarragon/gateway/config_updater.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "tarragon/gateway/dependency_log.h"
 #include "tarragon/gateway/gateway_state.h"
 #include "tarragon/gateway/table_listener.h"
 
@@ -22,11 +23,13 @@
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
   void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
-  void OnStoreRegained() override;
+  void OnStoreRegained(const store_outage& outage) override;
 
  private:
   void ApplyRow(const table_row& row, const table_position& position);
-  void ApplyConfig(const table_row& row);
+  void ApplyConfig(const table_row& row, const table_position& position);
+  /** @return age of the store's confirmation in milliseconds. */
+  std::int64_t AgeMs(const table_position& position) const;
   void ApplyEvacuation(const std::string& failure_domain,
                        const table_row& row,
                        const table_position& position);
@@ -37,6 +40,7 @@
                      const table_position& position);
 
   gateway_state& gateway_;
+  dependency_log dependency_{gateway_.log, gateway_.time, "config_table"};
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/gateway/daemon_table.h
+++ b/include/tarragon/gateway/daemon_table.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "tarragon/gateway/dependency_log.h"
 #include "tarragon/gateway/gateway_state.h"
 #include "tarragon/gateway/store_channel.h"
 #include "tarragon/gateway/table_listener.h"
@@ -44,7 +45,7 @@
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
   void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
-  void OnStoreRegained() override;
+  void OnStoreRegained(const store_outage& outage) override;
 
  private:
   /** Delay before a failed write of the row is retried. */
@@ -53,6 +54,7 @@
   void OnMembersChanged();
 
   gateway_state& gateway_;
+  dependency_log dependency_{gateway_.log, gateway_.time, "daemon_table"};
   store_channel& channel_;
   std::string own_address_;
   listener on_change_;
--- a/include/tarragon/gateway/endpoint_updater.h
+++ b/include/tarragon/gateway/endpoint_updater.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "tarragon/gateway/dependency_log.h"
 #include "tarragon/gateway/gateway_state.h"
 #include "tarragon/gateway/table_listener.h"
 
@@ -18,7 +19,7 @@
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
   void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
-  void OnStoreRegained() override;
+  void OnStoreRegained(const store_outage& outage) override;
 
   /** @return whether the table has been read at least once. */
   bool loaded() const { return loaded_; }
@@ -28,6 +29,7 @@
   bool ApplyRow(const table_row& row);
 
   gateway_state& gateway_;
+  dependency_log dependency_{gateway_.log, gateway_.time, "endpoint_table"};
   bool loaded_ = false;
 };
 
--- a/include/tarragon/gateway/table_listener.h
+++ b/include/tarragon/gateway/table_listener.h
@@ -18,6 +18,13 @@
   std::chrono::milliseconds store_time{0};
 };
 
+/** Calls to the store that failed one after another, until one succeeded. */
+struct store_outage {
+  std::uint32_t failed_calls = 0;
+  /** Time from the end of the last failed call to the one that succeeded. */
+  std::chrono::milliseconds last_wait{0};
+};
+
 /** Receives the contents of a table. */
 class table_listener {
  public:
@@ -30,7 +37,9 @@
    */
   virtual void OnChanges(const std::vector<table_row>& rows, const table_position& position) = 0;
   virtual void OnStoreLost(std::string_view reason) = 0;
-  virtual void OnStoreRegained() = 0;
+  /** @param outage what this daemon's own calls met; empty if another daemon has the store again.
+   */
+  virtual void OnStoreRegained(const store_outage& outage) = 0;
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/gateway/table_replica.h
+++ b/include/tarragon/gateway/table_replica.h
@@ -44,7 +44,7 @@
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
   void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
-  void OnStoreRegained() override;
+  void OnStoreRegained(const store_outage& outage) override;
 
   /**
    * Applies an update of another daemon.
--- a/include/tarragon/gateway/table_watcher.h
+++ b/include/tarragon/gateway/table_watcher.h
@@ -87,6 +87,7 @@
   bool loaded_ = false;
   bool connected_ = false;
   bool outage_reported_ = false;
+  store_outage outage_;
   bool running_ = false;
   /** Number of calls of `Start` that took effect. */
   std::uint64_t run_number_ = 0;
--- a/src/gateway/config_updater.cc
+++ b/src/gateway/config_updater.cc
@@ -24,7 +24,7 @@
   if (const auto failure_domain = gateway_.adapter.ReadEvacuatedDomain(row.key)) {
     ApplyEvacuation(*failure_domain, row, position);
   } else if (row.key == gateway_.adapter.ConfigKey() && !row.deleted) {
-    ApplyConfig(row);
+    ApplyConfig(row, position);
   }
 }
 
@@ -64,15 +64,18 @@
       gateway_.endpoints.all() | std::views::values, [&](const routing::endpoint_ptr& known) {
         return known->entry.failure_domain == failure_domain;
       });
+  gateway_.log.LogState(event, {{"failure_domain", failure_domain},
+                                {"row_version", row_version},
+                                {"age_ms", AgeMs(position)},
+                                {"endpoints", endpoints}});
+}
+
+std::int64_t config_updater::AgeMs(const table_position& position) const {
   const duration age = gateway_.store_time.Age(gateway_.time.Now(), position.store_time);
-  gateway_.log.LogState(
-      event, {{"failure_domain", failure_domain},
-              {"row_version", row_version},
-              {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
-              {"endpoints", endpoints}});
+  return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
 }
 
-void config_updater::ApplyConfig(const table_row& row) {
+void config_updater::ApplyConfig(const table_row& row, const table_position& position) {
   decode_result<routing::service_config_ptr> decoded = gateway_.adapter.DecodeConfig(row.value);
   if (!decoded) {
     gateway_.log.LogState("config_unreadable",
@@ -87,6 +90,7 @@
   gateway_.log.LogState("config_in_force", {{"version", config->version()},
                                             {"before", in_force},
                                             {"row_version", row.version},
+                                            {"age_ms", AgeMs(position)},
                                             {"routes", config->routes().size()}});
   gateway_.config = std::move(config);
   std::map<std::string, routing::cold_start, std::less<>> cold_starts;
@@ -99,11 +103,11 @@
 }
 
 void config_updater::OnStoreLost(std::string_view reason) {
-  gateway_.log.LogState("dependency_lost", {{"dependency", "config_table"}, {"reason", reason}});
+  dependency_.LogLost(reason);
 }
 
-void config_updater::OnStoreRegained() {
-  gateway_.log.LogState("dependency_regained", {{"dependency", "config_table"}});
+void config_updater::OnStoreRegained(const store_outage& outage) {
+  dependency_.LogRegained(outage);
 }
 
 }  // namespace tarragon::gateway
--- a/src/gateway/daemon_table.cc
+++ b/src/gateway/daemon_table.cc
@@ -76,11 +76,11 @@
 }
 
 void daemon_table::OnStoreLost(std::string_view reason) {
-  gateway_.log.LogState("dependency_lost", {{"dependency", "daemon_table"}, {"reason", reason}});
+  dependency_.LogLost(reason);
 }
 
-void daemon_table::OnStoreRegained() {
-  gateway_.log.LogState("dependency_regained", {{"dependency", "daemon_table"}});
+void daemon_table::OnStoreRegained(const store_outage& outage) {
+  dependency_.LogRegained(outage);
 }
 
 }  // namespace tarragon::gateway
--- /dev/null
+++ b/src/gateway/dependency_log.cc
@@ -0,0 +1,20 @@
+#include "tarragon/gateway/dependency_log.h"
+
+#include <chrono>
+
+namespace tarragon::gateway {
+
+void dependency_log::LogLost(std::string_view reason) {
+  lost_at_ = time_.Now();
+  log_.LogState("dependency_lost", {{"dependency", dependency_}, {"reason", reason}});
+}
+
+void dependency_log::LogRegained(const store_outage& outage) {
+  const auto lost = std::chrono::duration_cast<std::chrono::milliseconds>(time_.Now() - lost_at_);
+  log_.LogState("dependency_regained", {{"dependency", dependency_},
+                                        {"lost_ms", lost.count()},
+                                        {"failed_calls", outage.failed_calls},
+                                        {"last_wait_ms", outage.last_wait.count()}});
+}
+
+}  // namespace tarragon::gateway
--- a/src/gateway/endpoint_updater.cc
+++ b/src/gateway/endpoint_updater.cc
@@ -55,12 +55,12 @@
 
 void endpoint_updater::OnStoreLost(std::string_view reason) {
   gateway_.endpoints.OnStoreUnavailable(gateway_.time.Now());
-  gateway_.log.LogState("dependency_lost", {{"dependency", "endpoint_table"}, {"reason", reason}});
+  dependency_.LogLost(reason);
 }
 
-void endpoint_updater::OnStoreRegained() {
+void endpoint_updater::OnStoreRegained(const store_outage& outage) {
   gateway_.endpoints.OnStoreRecovered(gateway_.time.Now());
-  gateway_.log.LogState("dependency_regained", {{"dependency", "endpoint_table"}});
+  dependency_.LogRegained(outage);
 }
 
 }  // namespace tarragon::gateway
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -160,6 +160,12 @@
 void relay_node::Reconcile() {
   const std::string wanted = selector_.source().value_or("");
   if (wanted != link_address_) {
+    const duration age = View().age;
+    gateway_.log.LogState(
+        "relay_source",
+        {{"source", wanted},
+         {"before", link_address_},
+         {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
     CloseLink();
     if (!wanted.empty()) {
       OpenLink(wanted);
--- a/src/gateway/table_replica.cc
+++ b/src/gateway/table_replica.cc
@@ -19,7 +19,7 @@
   position_.store_time = std::max(position_.store_time, position.store_time);
   constexpr duration kRecent = std::chrono::seconds(1);
   if (store_time_.Age(time_.Now(), position.store_time) < kRecent) {
-    OnStoreRegained();
+    OnStoreRegained({});
   }
   return true;
 }
@@ -92,9 +92,9 @@
   }
 }
 
-void table_replica::OnStoreRegained() {
+void table_replica::OnStoreRegained(const store_outage& outage) {
   if (std::exchange(store_lost_, false)) {
-    listener_.OnStoreRegained();
+    listener_.OnStoreRegained(outage);
   }
 }
 
--- a/src/gateway/table_watcher.cc
+++ b/src/gateway/table_watcher.cc
@@ -189,16 +189,18 @@
   }
   // Jitter keeps the daemons from calling a recovering store at the same moment.
   std::uniform_int_distribution<std::int64_t> jitter(backoff_.count() / 2, backoff_.count());
-  ScheduleAfter(std::chrono::milliseconds(jitter(random_)),
-                loaded_ ? &table_watcher::Watch : &table_watcher::Load);
+  outage_.last_wait = std::chrono::milliseconds(jitter(random_));
+  ++outage_.failed_calls;
+  ScheduleAfter(outage_.last_wait, loaded_ ? &table_watcher::Watch : &table_watcher::Load);
   backoff_ = std::min(backoff_ * 2, options_.max_backoff);
 }
 
 void table_watcher::OnCallSucceeded() {
   connected_ = true;
   backoff_ = options_.initial_backoff;
+  const store_outage ended = std::exchange(outage_, {});
   if (std::exchange(outage_reported_, false)) {
-    listener_.OnStoreRegained();
+    listener_.OnStoreRegained(ended);
   }
 }
 
--- a/tests/gateway/table_replica_test.cc
+++ b/tests/gateway/table_replica_test.cc
@@ -25,7 +25,7 @@
     Apply(rows);
   }
   void OnStoreLost(std::string_view) override { ++losses; }
-  void OnStoreRegained() override { ++returns; }
+  void OnStoreRegained(const store_outage&) override { ++returns; }
 
   std::map<std::string, std::uint64_t> contents;
   int losses = 0;
--- a/tests/gateway/table_watcher_test.cc
+++ b/tests/gateway/table_watcher_test.cc
@@ -27,7 +27,7 @@
     events.push_back(fmt::format("{} changes at {}", rows.size(), position.version));
   }
   void OnStoreLost(std::string_view) override { events.emplace_back("lost"); }
-  void OnStoreRegained() override { events.emplace_back("regained"); }
+  void OnStoreRegained(const store_outage&) override { events.emplace_back("regained"); }
 
   std::vector<std::string> events;
 };
@@ -150,7 +150,7 @@
     throw std::runtime_error("unexpected");
   }
   void OnStoreLost(std::string_view) override {}
-  void OnStoreRegained() override {}
+  void OnStoreRegained(const store_outage&) override {}
 
   int tables = 0;
 };
