Log the era of the store, and reads that are older than what is known

The adapter reads the header Store-Era; the gateway logs store_era and table_read_stale and exposes tarragon_gateway_store_era. No decision changes.

--- a/include/tarragon/gateway/daemon_table.h
+++ b/include/tarragon/gateway/daemon_table.h
@@ -45,6 +45,7 @@
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
   void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
+  void OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) override;
   void OnStoreRegained(const store_outage& outage) override;
 
  private:
--- a/include/tarragon/gateway/dependency_log.h
+++ b/include/tarragon/gateway/dependency_log.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_GATEWAY_DEPENDENCY_LOG_H_
 #define TARRAGON_GATEWAY_DEPENDENCY_LOG_H_
 
+#include <cstdint>
 #include <string_view>
 
 #include "tarragon/base/clock.h"
@@ -17,6 +18,7 @@
       : log_(log), time_(time), dependency_(dependency) {}
 
   void LogLost(std::string_view reason);
+  void LogStaleRead(std::uint64_t known_version, std::uint64_t read_version);
   void LogRegained(const store_outage& outage);
 
  private:
--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -153,6 +153,12 @@
   virtual std::optional<std::string> ReadEvacuatedDomain(std::string_view key) const = 0;
   virtual std::string_view EndpointTable() const = 0;
 
+  /**
+   * @return the era that a response of the store names: it rises whenever the store returns from a
+   *     copy and has lost what it had acknowledged since. 0 if the store names none.
+   */
+  virtual std::uint64_t ReadStoreEra(const http::header_list& headers) const = 0;
+
   /** @param from first key to read; empty for the start of the table. */
   virtual service_call ReadTableCall(std::string_view table, std::string_view from) const = 0;
   /** Long poll for changes after version `after`; the store waits up to `wait` for a change. */
--- a/include/tarragon/gateway/store_channel.h
+++ b/include/tarragon/gateway/store_channel.h
@@ -2,6 +2,7 @@
 #define TARRAGON_GATEWAY_STORE_CHANNEL_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -13,6 +14,8 @@
 struct store_response {
   int status = 0;
   std::string body;
+  /** Era of the store, see `platform_adapter::ReadStoreEra`. */
+  std::uint64_t era = 0;
 };
 
 using store_call_result = store::store_result<store_response>;
--- a/include/tarragon/gateway/store_connection.h
+++ b/include/tarragon/gateway/store_connection.h
@@ -24,7 +24,7 @@
 class store_connection final : public store_channel, public http::message_listener {
  public:
   /** @param address `ip:port` of the store. */
-  store_connection(asio::io_context& loop, std::string address);
+  store_connection(asio::io_context& loop, const platform_adapter& adapter, std::string address);
   ~store_connection() override;
 
   void Call(service_call call, std::chrono::milliseconds timeout, callback done) override;
@@ -50,6 +50,7 @@
   void Fail();
 
   asio::io_context& loop_;
+  const platform_adapter& adapter_;
   std::string address_;
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
--- a/include/tarragon/gateway/table_listener.h
+++ b/include/tarragon/gateway/table_listener.h
@@ -37,6 +37,10 @@
    */
   virtual void OnChanges(const std::vector<table_row>& rows, const table_position& position) = 0;
   virtual void OnStoreLost(std::string_view reason) = 0;
+  /** A response named another era of the store than the one before. */
+  virtual void OnStoreEra(std::uint64_t /*era*/, std::uint64_t /*before*/) {}
+  /** The table was read, but is older than what is known, and is read again. */
+  virtual void OnStaleRead(std::uint64_t /*known_version*/, std::uint64_t /*read_version*/) {}
   /** @param outage what this daemon's own calls met; empty if another daemon has the store again.
    */
   virtual void OnStoreRegained(const store_outage& outage) = 0;
--- a/include/tarragon/gateway/table_replica.h
+++ b/include/tarragon/gateway/table_replica.h
@@ -44,6 +44,8 @@
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
   void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
+  void OnStoreEra(std::uint64_t era, std::uint64_t before) override;
+  void OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) override;
   void OnStoreRegained(const store_outage& outage) override;
 
   /**
--- a/include/tarragon/gateway/table_watcher.h
+++ b/include/tarragon/gateway/table_watcher.h
@@ -71,6 +71,7 @@
   void OnFeed(store_call_result result);
   /** Handles a result so that an exception does not end the watch. */
   void HandleResult(store_call_result result, void (table_watcher::*handle)(store_call_result));
+  void NoteEra(const store_call_result& result);
   void OnCallFailed(std::string_view reason);
   void OnCallSucceeded();
   void ScheduleAfter(std::chrono::milliseconds delay, void (table_watcher::*next)());
@@ -84,6 +85,8 @@
   std::mt19937_64 random_;
   /** Newest version seen; older tables are not applied. */
   std::uint64_t version_ = 0;
+  /** Era that the last response named. */
+  std::uint64_t era_ = 0;
   bool loaded_ = false;
   bool connected_ = false;
   bool outage_reported_ = false;
--- a/src/gateway/config_updater.cc
+++ b/src/gateway/config_updater.cc
@@ -106,6 +106,15 @@
   dependency_.LogLost(reason);
 }
 
+void config_updater::OnStoreEra(std::uint64_t era, std::uint64_t before) {
+  gateway_.log.LogState("store_era", {{"era", era}, {"before", before}});
+  gateway_.counters.Gauge("tarragon_gateway_store_era").Set(static_cast<std::int64_t>(era));
+}
+
+void config_updater::OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) {
+  dependency_.LogStaleRead(known_version, read_version);
+}
+
 void config_updater::OnStoreRegained(const store_outage& outage) {
   dependency_.LogRegained(outage);
 }
--- a/src/gateway/daemon_table.cc
+++ b/src/gateway/daemon_table.cc
@@ -79,6 +79,10 @@
   dependency_.LogLost(reason);
 }
 
+void daemon_table::OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) {
+  dependency_.LogStaleRead(known_version, read_version);
+}
+
 void daemon_table::OnStoreRegained(const store_outage& outage) {
   dependency_.LogRegained(outage);
 }
--- a/src/gateway/dependency_log.cc
+++ b/src/gateway/dependency_log.cc
@@ -9,6 +9,11 @@
   log_.LogState("dependency_lost", {{"dependency", dependency_}, {"reason", reason}});
 }
 
+void dependency_log::LogStaleRead(std::uint64_t known_version, std::uint64_t read_version) {
+  log_.LogState("table_read_stale",
+                {{"dependency", dependency_}, {"known", known_version}, {"read", read_version}});
+}
+
 void dependency_log::LogRegained(const store_outage& outage) {
   const auto lost = std::chrono::duration_cast<std::chrono::milliseconds>(time_.Now() - lost_at_);
   log_.LogState("dependency_regained", {{"dependency", dependency_},
--- a/src/gateway/endpoint_updater.cc
+++ b/src/gateway/endpoint_updater.cc
@@ -58,6 +58,10 @@
   dependency_.LogLost(reason);
 }
 
+void endpoint_updater::OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) {
+  dependency_.LogStaleRead(known_version, read_version);
+}
+
 void endpoint_updater::OnStoreRegained(const store_outage& outage) {
   gateway_.endpoints.OnStoreRecovered(gateway_.time.Now());
   dependency_.LogRegained(outage);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -106,11 +106,11 @@
                        [this](std::string_view) {
                          return status_server::response{kOk, counters.Expose()};
                        }),
-        config_connection(loop, settings.store_address),
-        endpoint_connection(loop, settings.store_address),
-        daemon_connection(loop, settings.store_address),
-        registration_connection(loop, settings.store_address),
-        quarantine_connection(loop, settings.store_address),
+        config_connection(loop, platform, settings.store_address),
+        endpoint_connection(loop, platform, settings.store_address),
+        daemon_connection(loop, platform, settings.store_address),
+        registration_connection(loop, platform, settings.store_address),
+        quarantine_connection(loop, platform, settings.store_address),
         config_listener(shared),
         endpoint_listener(shared),
         daemons(loop,
--- a/src/gateway/store_connection.cc
+++ b/src/gateway/store_connection.cc
@@ -10,8 +10,10 @@
 
 namespace tarragon::gateway {
 
-store_connection::store_connection(asio::io_context& loop, std::string address)
-    : loop_(loop), address_(std::move(address)), socket_(loop), timer_(loop) {}
+store_connection::store_connection(asio::io_context& loop,
+                                   const platform_adapter& adapter,
+                                   std::string address)
+    : loop_(loop), adapter_(adapter), address_(std::move(address)), socket_(loop), timer_(loop) {}
 
 store_connection::~store_connection() {
   *alive_ = false;
@@ -130,6 +132,7 @@
 
 void store_connection::OnHead(http::message_head head) {
   response_.status = head.status;
+  response_.era = adapter_.ReadStoreEra(head.headers);
   keep_alive_ = head.keep_alive;
 }
 
--- a/src/gateway/table_replica.cc
+++ b/src/gateway/table_replica.cc
@@ -92,6 +92,14 @@
   }
 }
 
+void table_replica::OnStoreEra(std::uint64_t era, std::uint64_t before) {
+  listener_.OnStoreEra(era, before);
+}
+
+void table_replica::OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) {
+  listener_.OnStaleRead(known_version, read_version);
+}
+
 void table_replica::OnStoreRegained(const store_outage& outage) {
   if (std::exchange(store_lost_, false)) {
     listener_.OnStoreRegained(outage);
--- a/src/gateway/table_watcher.cc
+++ b/src/gateway/table_watcher.cc
@@ -80,6 +80,7 @@
 void table_watcher::HandleResult(store_call_result result,
                                  void (table_watcher::*handle)(store_call_result)) {
   try {
+    NoteEra(result);
     (this->*handle)(std::move(result));
   } catch (const std::exception& error) {
     // What the listener has applied is unknown, so that the table is read again.
@@ -88,6 +89,12 @@
   }
 }
 
+void table_watcher::NoteEra(const store_call_result& result) {
+  if (result && result.value().era != era_) {
+    listener_.OnStoreEra(result.value().era, std::exchange(era_, result.value().era));
+  }
+}
+
 void table_watcher::Load() {
   page_rows_.clear();
   page_position_.reset();
@@ -127,6 +134,7 @@
 
 void table_watcher::FinishLoad() {
   if (loaded_ && page_position_->version < version_) {
+    listener_.OnStaleRead(version_, page_position_->version);
     // A read may lag behind the feed; a stale table must not replace a newer one.
     ScheduleAfter(options_.stale_read_delay, &table_watcher::Load);
     return;
--- a/tests/gateway/store_connection_test.cc
+++ b/tests/gateway/store_connection_test.cc
@@ -24,7 +24,7 @@
       c.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     }
   });
-  store_connection connection(loop, store.address());
+  store_connection connection(loop, adapter, store.address());
   std::optional<store_call_result> result;
   asio::steady_timer earlier(loop, kTimeout - std::chrono::milliseconds(1));
   earlier.async_wait([&](const asio::error_code&) {
--- a/tests/platform/table_platform_test.cc
+++ b/tests/platform/table_platform_test.cc
@@ -208,6 +208,18 @@
   EXPECT_TRUE(kPlatform.ReadPromptParts(headers).empty());
 }
 
+// Guards against a restored store that is not noticed, or is seen where the header is damaged.
+TEST(TablePlatformTest, ReadsTheEraOfTheStore) {
+  http::header_list headers;
+  EXPECT_EQ(kPlatform.ReadStoreEra(headers), 0U);
+  headers.Add("Store-Era", "3");
+  EXPECT_EQ(kPlatform.ReadStoreEra(headers), 3U);
+  for (const char* damaged : {"", "x", "-1", "3x", "99999999999999999999"}) {
+    headers.Set("Store-Era", damaged);
+    EXPECT_EQ(kPlatform.ReadStoreEra(headers), 0U) << damaged;
+  }
+}
+
 // Guards against a limit that is not seen, or is read from a damaged value.
 TEST(TablePlatformTest, ReadsARateLimit) {
   http::header_list headers;
