--- a/tests/emulator/store_emulator.cc
+++ b/tests/emulator/store_emulator.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <string>
 #include <utility>
 
 #include "base64.h"
@@ -52,6 +53,42 @@
   AnswerWaitingFeeds();
 }
 
+void store_emulator::Respond(const responder_ptr& response,
+                             int status,
+                             std::string_view body) const {
+  response->SendWhole(status, {{"Store-Era", std::to_string(era_)}}, body);
+}
+
+void store_emulator::MakeCopy() {
+  copy_ = {tables_, version_};
+}
+
+void store_emulator::RestoreCopy() {
+  const auto lost = std::exchange(tables_, copy_.tables);
+  version_ = copy_.version;
+  oldest_feed_version_ = std::min(oldest_feed_version_, version_);
+  ++era_;
+  std::ranges::for_each(waiting_feeds_, [](const waiting_feed& feed) { feed.response->Reset(); });
+  waiting_feeds_.clear();
+  for (const char* table : {"op", "servers"}) {
+    if (const auto found = lost.find(table); found != lost.end()) {
+      WriteAgain(table, found->second);
+    }
+  }
+}
+
+void store_emulator::WriteAgain(const std::string& table, const std::map<std::string, row>& lost) {
+  for (const auto& [key, last] : lost) {
+    const auto known = tables_[table].find(key);
+    const bool has_row = known != tables_[table].end() && !known->second.deleted;
+    const bool is_same = last.deleted ? !has_row : has_row && known->second.value == last.value;
+    if (!is_same) {
+      ++version_;
+      Write(table, key, last);
+    }
+  }
+}
+
 std::size_t store_emulator::RowCount(const std::string& table) const {
   const auto found = tables_.find(table);
   return found == tables_.end()
@@ -66,7 +103,7 @@
     case store_state::kServing:
       break;
     case store_state::kBusy:
-      response->SendWhole(kStatusUnavailable, {}, "");
+      Respond(response, kStatusUnavailable, "");
       return;
     case store_state::kResetting:
       response->Reset();
@@ -82,7 +119,7 @@
   } else if (path == "/tarragondyke/rows-tx") {
     HandleRowsTransaction(request, response);
   } else {
-    response->SendWhole(kStatusNotFound, {}, "");
+    Respond(response, kStatusNotFound, "");
   }
 }
 
@@ -111,21 +148,21 @@
 }
 
 void store_emulator::HandleRowsGet(const incoming_request& request, const responder_ptr& response) {
-  response->SendWhole(kStatusOk, {}, MakePage(request.Query("table"), 0, false).dump());
+  Respond(response, kStatusOk, MakePage(request.Query("table"), 0, false).dump());
 }
 
 void store_emulator::HandleRowsFeed(const incoming_request& request,
                                     const responder_ptr& response) {
   const std::string table = request.Query("table");
   const std::uint64_t after = ParseNumberOrZero(request.Query("after"));
-  if (after < oldest_feed_version_) {
-    response->SendWhole(kStatusGone, {}, "{}");
+  if (after < oldest_feed_version_ || after > version_) {
+    Respond(response, kStatusGone, "{}");
     return;
   }
   nlohmann::json page = MakePage(table, after, true);
   const auto wait = std::chrono::milliseconds(ParseNumberOrZero(request.Query("wait-ms")));
   if (!page["rows"].empty() || wait.count() == 0) {
-    response->SendWhole(kStatusOk, {}, page.dump());
+    Respond(response, kStatusOk, page.dump());
     return;
   }
   auto timeout = std::make_shared<asio::steady_timer>(loop_, wait);
@@ -134,8 +171,7 @@
     const auto expired = std::ranges::find(waiting_feeds_, timeout,
                                            [](const waiting_feed& feed) { return feed.timeout; });
     if (!error && expired != waiting_feeds_.end()) {
-      expired->response->SendWhole(kStatusOk, {},
-                                   MakePage(expired->table, expired->after, true).dump());
+      Respond(expired->response, kStatusOk, MakePage(expired->table, expired->after, true).dump());
       waiting_feeds_.erase(expired);
     }
   });
@@ -147,7 +183,7 @@
     if (state_ != store_state::kServing || page["rows"].empty()) {
       return feed.response->is_closed();
     }
-    feed.response->SendWhole(kStatusOk, {}, page.dump());
+    Respond(feed.response, kStatusOk, page.dump());
     return true;
   });
 }
@@ -163,8 +199,8 @@
   const bool conditions_hold = std::ranges::all_of(
       conditions, [&](const auto& item) { return current_version(item) == item["ver"]; });
   if (!conditions_hold) {
-    response->SendWhole(kStatusConflict, {},
-                        nlohmann::json{{"ver", version_}, {"now-ms", SteadyMilliseconds()}}.dump());
+    Respond(response, kStatusConflict,
+            nlohmann::json{{"ver", version_}, {"now-ms", SteadyMilliseconds()}}.dump());
     return;
   }
   ++version_;
@@ -174,8 +210,8 @@
   for (const nlohmann::json& item : call["remove"]) {
     Write(item["table"], item["key"], {.value = {}, .version = 0, .deleted = true});
   }
-  response->SendWhole(kStatusOk, {},
-                      nlohmann::json{{"ver", version_}, {"now-ms", SteadyMilliseconds()}}.dump());
+  Respond(response, kStatusOk,
+          nlohmann::json{{"ver", version_}, {"now-ms", SteadyMilliseconds()}}.dump());
   AnswerWaitingFeeds();
 }
 
--- a/tests/emulator/store_emulator.h
+++ b/tests/emulator/store_emulator.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 
 #include "emulator/http_service.h"
 
@@ -40,6 +41,17 @@
   /** Drops the history, so that a feed that starts before the current version gets status 410. */
   void Compact() { oldest_feed_version_ = version_; }
 
+  /** Remembers the tables as a copy of the store has them. */
+  void MakeCopy();
+  /**
+   * Returns as the last copy was: what has been acknowledged since is lost, versions go back and
+   * the era rises. The operator and the endpoints write again what they had written since; rows of
+   * other tables stay lost.
+   */
+  void RestoreCopy();
+  std::uint64_t era() const { return era_; }
+  std::uint64_t version() const { return version_; }
+
   std::size_t RowCount(const std::string& table) const;
   std::uint64_t call_count() const { return call_count_; }
 
@@ -56,17 +68,27 @@
     std::shared_ptr<asio::steady_timer> timeout;
   };
 
+  struct copy {
+    std::map<std::string, std::map<std::string, row>> tables;
+    std::uint64_t version = 1;
+  };
+
   void Handle(const incoming_request& request, const responder_ptr& response);
   void HandleRowsGet(const incoming_request& request, const responder_ptr& response);
   void HandleRowsFeed(const incoming_request& request, const responder_ptr& response);
   void HandleRowsTransaction(const incoming_request& request, const responder_ptr& response);
   nlohmann::json MakePage(const std::string& table, std::uint64_t after, bool with_deleted) const;
+  void Respond(const responder_ptr& response, int status, std::string_view body) const;
+  /** Writes the rows of a table that differ from the restored ones. */
+  void WriteAgain(const std::string& table, const std::map<std::string, row>& lost);
   void Write(const std::string& table, const std::string& key, row value);
   void AnswerWaitingFeeds();
 
   asio::io_context& loop_;
   std::map<std::string, std::map<std::string, row>> tables_;
   std::uint64_t version_ = 1;
+  std::uint64_t era_ = 1;
+  copy copy_;
   std::uint64_t call_count_ = 0;
   std::uint64_t oldest_feed_version_ = 0;
   store_state state_ = store_state::kServing;
