Reproduce a configuration that is late after a long cut; a test fails

What callers saw: a route that had been added was refused with 404 by a daemon that had been cut off before.

Daemons are held to the bound 4.0 s after a cut.

--- a/include/tarragon/gateway/table_watcher.h
+++ b/include/tarragon/gateway/table_watcher.h
@@ -13,6 +13,8 @@
 #include "tarragon/gateway/platform_adapter.h"
 #include "tarragon/gateway/store_channel.h"
 #include "tarragon/gateway/table_listener.h"
+#include "tarragon/routing/retry_backoff.h"
+#include "tarragon/routing/store_pace.h"
 
 namespace tarragon::gateway {
 
@@ -23,22 +25,16 @@
    */
   std::chrono::milliseconds wait{3000};
   /** Timeout of a read, and of a feed call in addition to `wait`. */
-  std::chrono::milliseconds response_timeout{800};
+  std::chrono::milliseconds response_timeout = routing::kStoreResponseTimeout;
   /** Minimum time between two feed calls; changes within it are fetched together. */
   std::chrono::milliseconds min_interval{0};
   /** Backoff after a failed call; doubles with each consecutive failure up to the maximum. */
-  std::chrono::milliseconds initial_backoff{100};
+  std::chrono::milliseconds initial_backoff = routing::kInitialStoreBackoff;
   std::chrono::milliseconds max_backoff{800};
   /** Delay before a read that returned a stale version is repeated. */
   std::chrono::milliseconds stale_read_delay{400};
 };
 
-/** The options of a watch that depend on how many daemons read the store. */
-struct watch_pace {
-  std::chrono::milliseconds wait{3000};
-  std::chrono::milliseconds max_backoff{800};
-};
-
 /** Reads a table and watches its changes; resynchronizes when the store has dropped history. */
 class table_watcher final {
  public:
@@ -60,7 +56,7 @@
   bool is_running() const { return running_; }
 
   /** Takes effect with the next call. */
-  void SetPace(const watch_pace& pace);
+  void SetPace(const routing::store_pace& pace);
 
  private:
   void Load();
@@ -94,7 +90,7 @@
   bool running_ = false;
   /** Number of calls of `Start` that took effect. */
   std::uint64_t run_number_ = 0;
-  std::chrono::milliseconds backoff_;
+  routing::retry_backoff backoff_;
   std::vector<table_row> page_rows_;
   std::optional<table_position> page_position_;
   std::chrono::steady_clock::time_point last_feed_;
--- /dev/null
+++ b/include/tarragon/routing/store_pace.h
@@ -0,0 +1,27 @@
+#ifndef TARRAGON_ROUTING_STORE_PACE_H_
+#define TARRAGON_ROUTING_STORE_PACE_H_
+
+#include <chrono>
+
+#include "tarragon/routing/relay_plan.h"
+
+namespace tarragon::routing {
+
+/** How often a daemon calls the store for one table. */
+struct store_pace {
+  /** Longest wait of one feed call at the store. */
+  std::chrono::milliseconds wait{3000};
+  /** Longest wait after a failed call. */
+  std::chrono::milliseconds max_backoff{800};
+};
+
+/** Time after which a call that does not wait at the store counts as failed. */
+inline constexpr std::chrono::milliseconds kStoreResponseTimeout{800};
+inline constexpr std::chrono::milliseconds kInitialStoreBackoff{100};
+
+/** @param essential changes of the table must reach the daemon in time. */
+store_pace PaceOf(const relay_plan& plan, bool essential);
+
+}  // namespace tarragon::routing
+
+#endif  // TARRAGON_ROUTING_STORE_PACE_H_
--- a/src/gateway/table_watcher.cc
+++ b/src/gateway/table_watcher.cc
@@ -35,7 +35,7 @@
       options_(options),
       timer_(loop),
       random_(seed),
-      backoff_(options.initial_backoff) {}
+      backoff_(options.initial_backoff, options.max_backoff) {}
 
 void table_watcher::Start(std::uint64_t known_version) {
   if (std::exchange(running_, true)) {
@@ -43,7 +43,7 @@
   }
   ++run_number_;
   connected_ = false;
-  backoff_ = options_.initial_backoff;
+  backoff_.Reset();
   version_ = std::max(version_, known_version);
   loaded_ = loaded_ || known_version > 0;
   if (loaded_) {
@@ -53,9 +53,9 @@
   }
 }
 
-void table_watcher::SetPace(const watch_pace& pace) {
+void table_watcher::SetPace(const routing::store_pace& pace) {
   options_.wait = pace.wait;
-  options_.max_backoff = pace.max_backoff;
+  backoff_.SetMax(pace.max_backoff);
 }
 
 void table_watcher::Stop() {
@@ -195,17 +195,14 @@
   if (!std::exchange(outage_reported_, true)) {
     listener_.OnStoreLost(reason);
   }
-  // Jitter keeps the daemons from calling a recovering store at the same moment.
-  std::uniform_int_distribution<std::int64_t> jitter(backoff_.count() / 2, backoff_.count());
-  outage_.last_wait = std::chrono::milliseconds(jitter(random_));
+  outage_.last_wait = backoff_.Next(random_);
   ++outage_.failed_calls;
   ScheduleAfter(outage_.last_wait, loaded_ ? &table_watcher::Watch : &table_watcher::Load);
-  backoff_ = std::min(backoff_ * 2, options_.max_backoff);
 }
 
 void table_watcher::OnCallSucceeded() {
   connected_ = true;
-  backoff_ = options_.initial_backoff;
+  backoff_.Reset();
   const store_outage ended = std::exchange(outage_, {});
   if (std::exchange(outage_reported_, false)) {
     listener_.OnStoreRegained(ended);
--- a/tests/routing/fake_relay_fleet.h
+++ b/tests/routing/fake_relay_fleet.h
@@ -14,7 +14,9 @@
 #include <vector>
 
 #include "tarragon/routing/relay_plan.h"
+#include "tarragon/routing/retry_backoff.h"
 #include "tarragon/routing/source_selector.h"
+#include "tarragon/routing/store_pace.h"
 
 namespace tarragon::routing {
 
@@ -43,6 +45,7 @@
     std::uint64_t version = 0;
     time_point confirmed_at;
     time_point next_poll;
+    retry_backoff backoff{kInitialStoreBackoff, std::chrono::milliseconds(0)};
     std::optional<std::string> linked_to;
     std::optional<time_point> link_confirmed_at;
   };
@@ -125,13 +128,18 @@
   void ReadStore(daemon& target) {
     if (!target.selector->reads_store()) {
       target.next_poll = now;
+      target.backoff.Reset();
       return;
     }
     if (now >= target.next_poll) {
       ++store_calls;
-      target.next_poll = now + kPollInterval;
       if (store_serves && target.reaches_store) {
+        target.next_poll = now + kPollInterval;
+        target.backoff.Reset();
         Confirm(target, store_version, now);
+      } else {
+        target.backoff.SetMax(PaceOf(target.selector->plan(), true).max_backoff);
+        target.next_poll = now + kStoreResponseTimeout + target.backoff.Next(random_);
       }
     }
   }
--- a/tests/routing/source_selector_test.cc
+++ b/tests/routing/source_selector_test.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <ranges>
 #include <string>
+#include <vector>
 
 #include "routing/fake_relay_fleet.h"
 
@@ -21,6 +22,9 @@
 /** The strictest time in which the users' relayed deployments want a change in force. */
 constexpr milliseconds kChangeBound{3000};
 
+/** Time after the end of a disruption from which the users hold a daemon to the change bound. */
+constexpr milliseconds kContactTime{4000};
+
 class source_selector_sizes : public testing::TestWithParam<std::size_t> {};
 
 // Guards against a cost of calls to the store that grows with the number of daemons.
@@ -58,6 +62,29 @@
   }
 }
 
+// Guards against a daemon that goes on waiting with old rows after its path has come back.
+TEST_P(source_selector_sizes, DaemonIsCurrentSoonAfterACutEnds) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    fake_relay_fleet fleet(GetParam(), kDomains, seed);
+    fleet.RunFor(seconds(5));
+    std::vector<fake_relay_fleet::daemon*> cut;
+    std::size_t position = 0;
+    for (fake_relay_fleet::daemon& known : fleet.daemons | std::views::values) {
+      if (position++ % 3 == 0) {
+        known.reaches_store = known.reaches_peers = false;
+        cut.push_back(&known);
+      }
+    }
+    ++fleet.store_version;
+    fleet.RunFor(seconds(5) + milliseconds(250) * seed);
+    std::ranges::for_each(cut, [](fake_relay_fleet::daemon* known) {
+      known->reaches_store = known->reaches_peers = true;
+    });
+    fleet.RunFor(kContactTime);
+    EXPECT_EQ(fleet.CountBehind(2), 0U) << "seed " << seed;
+  }
+}
+
 // Guards against a fleet that reads the store for ever after an outage in which all daemons went
 // to look at the store themselves.
 TEST_P(source_selector_sizes, ReadersAreFewAgainAfterAnOutage) {
