Bound what a daemon with old rows waits for by the time in which it must catch up

Cause: waits after failed calls grew up to 4 s at daemons that only substitute for a reader, and pauses before a source is tried again up to 30 s. They were chosen by how long the outage had lasted and went on when the path was back. Each table waited for itself.

Change: kCatchUpTime bounds the timeout of a call together with the wait after it, and the pause of a source while the own rows are stale. When the store serves one table again, the others are asked at once.

--- a/include/tarragon/gateway/relay_node.h
+++ b/include/tarragon/gateway/relay_node.h
@@ -83,6 +83,8 @@
   void Update();
   routing::source_view View() const;
   void Reconcile();
+  /** Once the store serves one table again, the waits of the other tables have no reason left. */
+  void RetryOthers(const table_watcher& regained);
   void OpenLink(const std::string& address);
   void CloseLink();
   void SetReading(bool reads_store);
--- a/include/tarragon/gateway/table_watcher.h
+++ b/include/tarragon/gateway/table_watcher.h
@@ -5,9 +5,11 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tarragon/gateway/platform_adapter.h"
@@ -55,6 +57,14 @@
   void Stop();
   bool is_running() const { return running_; }
 
+  /** Calls the store now if the watch waits after a failed call: it may serve again. */
+  void RetryNow();
+
+  /** @param on_regained called after the first call that succeeds after failed ones. */
+  void SetRegainedListener(std::function<void()> on_regained) {
+    on_regained_ = std::move(on_regained);
+  }
+
   /** Takes effect with the next call. */
   void SetPace(const routing::store_pace& pace);
 
@@ -71,6 +81,7 @@
   void OnCallFailed(std::string_view reason);
   void OnCallSucceeded();
   void ScheduleAfter(std::chrono::milliseconds delay, void (table_watcher::*next)());
+  void Retry();
 
   const platform_adapter& adapter_;
   store_channel& channel_;
@@ -88,8 +99,11 @@
   bool outage_reported_ = false;
   store_outage outage_;
   bool running_ = false;
-  /** Number of calls of `Start` that took effect. */
-  std::uint64_t run_number_ = 0;
+  /** Waits after a failed call. */
+  bool is_backing_off_ = false;
+  /** Changes whenever a wait begins or is given up. */
+  std::uint64_t wait_number_ = 0;
+  std::function<void()> on_regained_;
   routing::retry_backoff backoff_;
   std::vector<table_row> page_rows_;
   std::optional<table_position> page_position_;
--- a/include/tarragon/routing/source_selector.h
+++ b/include/tarragon/routing/source_selector.h
@@ -10,6 +10,7 @@
 
 #include "tarragon/base/clock.h"
 #include "tarragon/routing/relay_plan.h"
+#include "tarragon/routing/store_pace.h"
 
 namespace tarragon::routing {
 
@@ -34,6 +35,8 @@
    */
   duration min_cooldown = std::chrono::milliseconds(1000);
   duration max_cooldown = std::chrono::seconds(30);
+  /** Longest pause while the daemon's rows are stale, whatever the source did before. */
+  duration max_stale_cooldown = kCatchUpTime;
   /** Same while the daemon has no rows: in a fleet that restarts, the sources come up soon. */
   duration start_cooldown = std::chrono::milliseconds(150);
 };
@@ -76,10 +79,12 @@
 
  private:
   struct failed_source {
+    time_point failed_at;
     time_point retry_at;
     std::uint32_t failures = 0;
   };
 
+  bool MayRetry(time_point now, const failed_source& failed) const;
   void ChooseSource(time_point now);
   void GiveUpSource(time_point now, bool responds);
   duration Cooldown(std::uint32_t failures);
--- a/include/tarragon/routing/store_pace.h
+++ b/include/tarragon/routing/store_pace.h
@@ -19,6 +19,13 @@
 inline constexpr std::chrono::milliseconds kStoreResponseTimeout{800};
 inline constexpr std::chrono::milliseconds kInitialStoreBackoff{100};
 
+/**
+ * Longest wait of a daemon with old rows before it tries again, so that it is current soon after
+ * its path to the store or to a source has come back. The users hold a daemon to the time of a
+ * change 4 s after that, where daemons are so many that some only substitute.
+ */
+inline constexpr std::chrono::milliseconds kCatchUpTime{2500};
+
 /** @param essential changes of the table must reach the daemon in time. */
 store_pace PaceOf(const relay_plan& plan, bool essential);
 
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -23,7 +23,12 @@
       acceptor_(gateway.loop),
       timer_(gateway.loop),
       accept_timer_(gateway.loop),
-      link_store_times_(tables_.size()) {}
+      link_store_times_(tables_.size()) {
+  for (const relayed_table& table : tables_) {
+    table.watcher.SetRegainedListener(
+        [this, regained = &table.watcher] { RetryOthers(*regained); });
+  }
+}
 
 relay_node::~relay_node() {
   CloseLink();
@@ -173,6 +178,14 @@
   }
 }
 
+void relay_node::RetryOthers(const table_watcher& regained) {
+  for (const relayed_table& table : tables_) {
+    if (&table.watcher != &regained) {
+      table.watcher.RetryNow();
+    }
+  }
+}
+
 void relay_node::OpenLink(const std::string& address) {
   link_address_ = address;
   const auto target = ParseAddress(address);
--- a/src/gateway/table_watcher.cc
+++ b/src/gateway/table_watcher.cc
@@ -41,16 +41,12 @@
   if (std::exchange(running_, true)) {
     return;
   }
-  ++run_number_;
+  ++wait_number_;
   connected_ = false;
   backoff_.Reset();
   version_ = std::max(version_, known_version);
   loaded_ = loaded_ || known_version > 0;
-  if (loaded_) {
-    Watch();
-  } else {
-    Load();
-  }
+  Retry();
 }
 
 void table_watcher::SetPace(const routing::store_pace& pace) {
@@ -63,15 +59,16 @@
     return;
   }
   outage_reported_ = false;
+  is_backing_off_ = false;
   timer_.cancel();
   channel_.Cancel();
 }
 
 void table_watcher::ScheduleAfter(std::chrono::milliseconds delay, void (table_watcher::*next)()) {
   timer_.expires_after(delay);
-  timer_.async_wait([this, next, run = run_number_](const asio::error_code& error) {
-    // A wait of an earlier run may have ended before its cancellation.
-    if (!error && running_ && run == run_number_) {
+  timer_.async_wait([this, next, wait = ++wait_number_](const asio::error_code& error) {
+    // The handler of an earlier wait may have been queued before its cancellation.
+    if (!error && running_ && wait == wait_number_) {
       (this->*next)();
     }
   });
@@ -197,7 +194,26 @@
   }
   outage_.last_wait = backoff_.Next(random_);
   ++outage_.failed_calls;
-  ScheduleAfter(outage_.last_wait, loaded_ ? &table_watcher::Watch : &table_watcher::Load);
+  is_backing_off_ = true;
+  ScheduleAfter(outage_.last_wait, &table_watcher::Retry);
+}
+
+void table_watcher::Retry() {
+  is_backing_off_ = false;
+  if (loaded_) {
+    Watch();
+  } else {
+    Load();
+  }
+}
+
+void table_watcher::RetryNow() {
+  if (!is_backing_off_) {
+    return;
+  }
+  ++wait_number_;
+  timer_.cancel();
+  Retry();
 }
 
 void table_watcher::OnCallSucceeded() {
@@ -206,6 +222,9 @@
   const store_outage ended = std::exchange(outage_, {});
   if (std::exchange(outage_reported_, false)) {
     listener_.OnStoreRegained(ended);
+    if (on_regained_) {
+      on_regained_();
+    }
   }
 }
 
--- a/src/routing/source_selector.cc
+++ b/src/routing/source_selector.cc
@@ -45,6 +45,7 @@
     return;
   }
   failed_source& failed = failed_[*source_];
+  failed.failed_at = now;
   failed.retry_at = now + Cooldown(failed.failures);
   failed.failures = responds ? 0 : failed.failures + 1;
   source_.reset();
@@ -54,10 +55,17 @@
   GiveUpSource(now, false);
 }
 
+bool source_selector::MayRetry(time_point now, const failed_source& failed) const {
+  // The pause was chosen when another source may still have had newer rows.
+  const bool is_stale_for_long =
+      stale_since_ && now >= failed.failed_at + options_.max_stale_cooldown;
+  return failed.retry_at <= now || is_stale_for_long;
+}
+
 void source_selector::ChooseSource(time_point now) {
   const auto usable = std::ranges::find_if(plan_.sources, [&](const std::string& address) {
     const auto failed = failed_.find(address);
-    return failed == failed_.end() || failed->second.retry_at <= now;
+    return failed == failed_.end() || MayRetry(now, failed->second);
   });
   if (usable != plan_.sources.end()) {
     source_ = *usable;
--- a/src/routing/store_pace.cc
+++ b/src/routing/store_pace.cc
@@ -11,8 +11,11 @@
 /** Bounds the time between two confirmations that are relayed. */
 constexpr std::chrono::milliseconds kRelayedWait{600};
 constexpr std::chrono::milliseconds kMaxBackoff{800};
-/** For daemons that read only because they have no source: in an outage these are all others. */
-constexpr std::chrono::milliseconds kMaxSubstituteBackoff{4000};
+/**
+ * For daemons that read only because they have no source: in an outage these are all others. A call
+ * that times out as the path comes back, and the wait after it, fit into `kCatchUpTime`.
+ */
+constexpr std::chrono::milliseconds kMaxSubstituteBackoff = kCatchUpTime - kStoreResponseTimeout;
 
 }  // namespace
 
--- a/tests/gateway/table_watcher_test.cc
+++ b/tests/gateway/table_watcher_test.cc
@@ -108,6 +108,25 @@
   EXPECT_NE(channel.targets.at(0).find("wait-ms=0"), std::string::npos);
 }
 
+// Guards against a wait after a failed call that outlasts the outage, although another table has
+// shown that the store serves again.
+TEST_F(table_watcher_test, RetryNowEndsTheWaitAfterAFailedCall) {
+  channel.results = {Page("", 5), store_response{503, ""}, Page(Row("a", 6), 6)};
+  watch_options options;
+  options.initial_backoff = options.max_backoff = std::chrono::hours(1);
+  table_watcher watcher(loop, adapter, channel, "t", listener, options, 1);
+  watcher.RetryNow();
+  EXPECT_TRUE(channel.targets.empty());
+  watcher.Start();
+  loop.run_for(std::chrono::milliseconds(20));
+  ASSERT_EQ(listener.events.back(), "lost");
+  watcher.RetryNow();
+  watcher.RetryNow();
+  loop.run_for(std::chrono::milliseconds(20));
+  EXPECT_EQ(listener.events.back(), "1 changes at 6");
+  EXPECT_EQ(channel.targets.size(), 4U);
+}
+
 // Guards against a call that is made while an abandoned one is pending, and against an abandoned
 // call whose result is applied.
 TEST_F(table_watcher_test, StopAbandonsThePendingCall) {
