--- a/include/tarragon/gateway/config_updater.h
+++ b/include/tarragon/gateway/config_updater.h
@@ -2,6 +2,7 @@
 #define TARRAGON_GATEWAY_CONFIG_UPDATER_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,11 +24,13 @@
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
   void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
-  void OnStoreEra(std::uint64_t era, std::uint64_t before) override;
-  void OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) override;
+  void OnStaleRead(const routing::store_version& known,
+                   const routing::store_version& read) override;
   void OnStoreRegained(const store_outage& outage) override;
 
  private:
+  /** Notices that the store has returned from a copy. */
+  void NoteEra(const table_position& position);
   void ApplyRow(const table_row& row, const table_position& position);
   void ApplyConfig(const table_row& row, const table_position& position);
   /** @return age of the store's confirmation in milliseconds. */
@@ -38,11 +41,13 @@
   void EndUnlistedEvacuations(const std::vector<table_row>& rows, const table_position& position);
   void LogEvacuation(std::string_view event,
                      const std::string& failure_domain,
-                     std::uint64_t row_version,
+                     const routing::store_version& row_version,
                      const table_position& position);
 
   gateway_state& gateway_;
   dependency_log dependency_{gateway_.log, gateway_.time, "config_table"};
+  /** Empty until the table is known. */
+  std::optional<std::uint64_t> era_;
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/gateway/daemon_table.h
+++ b/include/tarragon/gateway/daemon_table.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,7 +22,8 @@
 
 /**
  * Peer discovery of the gateway daemons: each daemon writes a row with its peer address to the
- * store. Rows are keyed by address, so that a restarted process adds no second row. Rows of removed
+ * store, and again if the store has lost the row by returning from a copy. Rows are keyed by
+ * address, so that a restarted process adds no second row. Rows of removed
  * VMs stay; they reduce each daemon's share of the retry budget, and those who would follow them
  * in the relay tree try them now and then.
  */
@@ -45,14 +47,18 @@
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
   void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
-  void OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) override;
+  void OnStaleRead(const routing::store_version& known,
+                   const routing::store_version& read) override;
   void OnStoreRegained(const store_outage& outage) override;
 
  private:
   /** Delay before a failed write of the row is retried. */
   static constexpr std::chrono::milliseconds kRegisterRetryDelay{700};
 
-  void OnMembersChanged();
+  void OnRegistered(const store_response& response);
+  void OnMembersChanged(const table_position& position);
+  /** Writes the row again if the table should have it. */
+  void RegisterIfLost(const table_position& position);
 
   gateway_state& gateway_;
   dependency_log dependency_{gateway_.log, gateway_.time, "daemon_table"};
@@ -60,6 +66,8 @@
   std::string own_address_;
   listener on_change_;
   asio::steady_timer timer_;
+  /** Version of the acknowledged write of the row; empty while there is none. */
+  std::optional<routing::store_version> registered_at_;
   /** Failure domain of each daemon, by address; empty if its row does not tell. */
   std::map<std::string, std::string> domains_;
 };
--- a/include/tarragon/gateway/dependency_log.h
+++ b/include/tarragon/gateway/dependency_log.h
@@ -18,7 +18,7 @@
       : log_(log), time_(time), dependency_(dependency) {}
 
   void LogLost(std::string_view reason);
-  void LogStaleRead(std::uint64_t known_version, std::uint64_t read_version);
+  void LogStaleRead(const routing::store_version& known, const routing::store_version& read);
   void LogRegained(const store_outage& outage);
 
  private:
--- a/include/tarragon/gateway/endpoint_updater.h
+++ b/include/tarragon/gateway/endpoint_updater.h
@@ -19,7 +19,8 @@
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
   void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
-  void OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) override;
+  void OnStaleRead(const routing::store_version& known,
+                   const routing::store_version& read) override;
   void OnStoreRegained(const store_outage& outage) override;
 
   /** @return whether the table has been read at least once. */
--- a/include/tarragon/gateway/evidence_message.h
+++ b/include/tarragon/gateway/evidence_message.h
@@ -12,7 +12,7 @@
 namespace tarragon::gateway {
 
 /** Statements that fit into a datagram of 1,200 bytes. */
-inline constexpr std::size_t kMaxStatements = 24;
+inline constexpr std::size_t kMaxStatements = 22;
 
 /** @return the statements encoded as one datagram. */
 std::string EncodeEvidence(const std::vector<routing::endpoint_statement>& statements);
--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -139,6 +139,8 @@
   std::function<void()> on_request_sent;
   /** Called after this daemon has learned something about an endpoint that others should know. */
   std::function<void()> on_evidence;
+  /** Called after the store has returned from a copy: what this daemon wrote since may be lost. */
+  std::function<void()> on_store_restored;
   /** Called after a request has finished or a connection has sent all its response bytes. */
   std::function<void()> on_work_done;
 
--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -87,14 +87,14 @@
 struct table_row {
   std::string key;
   std::string value;
-  std::uint64_t version = 0;
+  routing::store_version version;
   bool deleted = false;
 };
 
 struct table_page {
   std::vector<table_row> rows;
   /** The store's newest version at the time of the response. */
-  std::uint64_t version = 0;
+  routing::store_version version;
   /** The store's steady clock at the time of the response; zero if the response lacks it. */
   std::chrono::milliseconds store_time{0};
   /** The table has more rows after this page. */
@@ -161,14 +161,16 @@
 
   /** @param from first key to read; empty for the start of the table. */
   virtual service_call ReadTableCall(std::string_view table, std::string_view from) const = 0;
-  /** Long poll for changes after version `after`; the store waits up to `wait` for a change. */
+  /** Long poll for changes after version `after` of the store's present era; the store waits up to
+   * `wait` for a change. */
   virtual service_call WatchTableCall(std::string_view table,
                                       std::uint64_t after,
                                       std::chrono::milliseconds wait) const = 0;
   virtual service_call PutRowCall(std::string_view table,
                                   std::string_view key,
                                   std::string_view value) const = 0;
-  virtual decode_result<table_page> DecodePage(std::string_view body) const = 0;
+  /** @param era of the store, as the headers of the response name it. */
+  virtual decode_result<table_page> DecodePage(std::string_view body, std::uint64_t era) const = 0;
 
   virtual decode_result<routing::service_config_ptr> DecodeConfig(std::string_view value) const = 0;
   virtual decode_result<routing::endpoint_entry> DecodeEndpoint(std::string_view id,
--- a/include/tarragon/gateway/quarantine_table.h
+++ b/include/tarragon/gateway/quarantine_table.h
@@ -34,6 +34,8 @@
   void Restore();
   /** Writes this daemon's row; retries until the store has acknowledged the write. */
   void Save();
+  /** Writes the row again if there is one: the store may have lost it. */
+  void SaveAgain();
 
  private:
   static constexpr std::chrono::milliseconds kTimeout{1000};
@@ -53,6 +55,7 @@
   asio::steady_timer timer_;
   bool read_wanted_ = false;
   bool write_wanted_ = false;
+  bool has_saved_ = false;
   bool call_pending_ = false;
   /** First key of the next page to read. */
   std::string next_key_;
--- a/include/tarragon/gateway/relay_message.h
+++ b/include/tarragon/gateway/relay_message.h
@@ -26,8 +26,8 @@
 struct relay_subscription {
   std::string vm;
   subscription_kind kind = subscription_kind::kRows;
-  /** Version of each table that the follower has; 0 if none. */
-  std::vector<std::uint64_t> versions;
+  /** Version of each table that the follower has; empty if none. */
+  std::vector<routing::store_version> versions;
 };
 
 /** Message of a source: an update of one table. */
--- a/include/tarragon/gateway/relay_node.h
+++ b/include/tarragon/gateway/relay_node.h
@@ -68,7 +68,7 @@
     std::shared_ptr<relay_connection> connection;
     std::string vm;
     /** Version of each table that the follower has after what was sent; empty until subscribed. */
-    std::vector<std::uint64_t> sent;
+    std::vector<routing::store_version> sent;
     /** Tables with news that wait for the write in progress. */
     std::vector<bool> pending;
   };
@@ -105,8 +105,8 @@
   bool reading_ = false;
   std::shared_ptr<relay_connection> link_;
   std::string link_address_;
-  /** Store time of the newest confirmation of each table received over the link. */
-  std::vector<std::optional<std::chrono::milliseconds>> link_store_times_;
+  /** Newest confirmation of each table received over the link. */
+  std::vector<std::optional<table_position>> link_positions_;
   bool source_lost_store_ = false;
   std::map<const relay_connection*, follower> followers_;
 };
--- a/include/tarragon/gateway/table_listener.h
+++ b/include/tarragon/gateway/table_listener.h
@@ -13,7 +13,7 @@
 /** State of a table that the store has confirmed as its newest. */
 struct table_position {
   /** The store's newest version at the time of the confirmation. */
-  std::uint64_t version = 0;
+  routing::store_version version;
   /** Time of the confirmation on the store's steady clock. */
   std::chrono::milliseconds store_time{0};
 };
@@ -37,10 +37,9 @@
    */
   virtual void OnChanges(const std::vector<table_row>& rows, const table_position& position) = 0;
   virtual void OnStoreLost(std::string_view reason) = 0;
-  /** A response named another era of the store than the one before. */
-  virtual void OnStoreEra(std::uint64_t /*era*/, std::uint64_t /*before*/) {}
   /** The table was read, but is older than what is known, and is read again. */
-  virtual void OnStaleRead(std::uint64_t /*known_version*/, std::uint64_t /*read_version*/) {}
+  virtual void OnStaleRead(const routing::store_version& /*known*/,
+                           const routing::store_version& /*read*/) {}
   /** @param outage what this daemon's own calls met; empty if another daemon has the store again.
    */
   virtual void OnStoreRegained(const store_outage& outage) = 0;
--- a/include/tarragon/gateway/table_replica.h
+++ b/include/tarragon/gateway/table_replica.h
@@ -18,8 +18,8 @@
 
 /** Changes of a table between two versions, or the complete table. */
 struct table_update {
-  /** Version to which the rows apply; 0 if the update holds the complete table. */
-  std::uint64_t base_version = 0;
+  /** Version to which the rows apply; empty if the update holds the complete table. */
+  routing::store_version base_version;
   table_position position;
   std::vector<table_row> rows;
 };
@@ -44,8 +44,8 @@
   void OnTable(const std::vector<table_row>& rows, const table_position& position) override;
   void OnChanges(const std::vector<table_row>& rows, const table_position& position) override;
   void OnStoreLost(std::string_view reason) override;
-  void OnStoreEra(std::uint64_t era, std::uint64_t before) override;
-  void OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) override;
+  void OnStaleRead(const routing::store_version& known,
+                   const routing::store_version& read) override;
   void OnStoreRegained(const store_outage& outage) override;
 
   /**
@@ -55,7 +55,7 @@
   bool Apply(const table_update& update);
 
   /** @return the changes since `version`, or the complete table if these are not known. */
-  table_update ChangesSince(std::uint64_t version) const;
+  table_update ChangesSince(const routing::store_version& version) const;
 
   bool is_loaded() const { return loaded_; }
   bool is_store_lost() const { return store_lost_; }
@@ -83,7 +83,7 @@
   std::map<std::string, table_row> rows_;
   std::size_t tombstones_ = 0;
   /** Newest version of a dropped tombstone: changes since older versions are incomplete. */
-  std::uint64_t complete_since_ = 0;
+  routing::store_version complete_since_;
   table_position position_;
   bool loaded_ = false;
   bool store_lost_ = false;
--- a/include/tarragon/gateway/table_watcher.h
+++ b/include/tarragon/gateway/table_watcher.h
@@ -50,9 +50,9 @@
 
   /**
    * Starts or resumes to watch.
-   * @param known_version version up to which the listener knows the table; 0 if it has none.
+   * @param known_version version up to which the listener knows the table; empty if it has none.
    */
-  void Start(std::uint64_t known_version = 0);
+  void Start(const routing::store_version& known_version = {});
   /** Stops without a further call to the listener; a pending call is abandoned. */
   void Stop();
   bool is_running() const { return running_; }
@@ -77,7 +77,8 @@
   void OnFeed(store_call_result result);
   /** Handles a result so that an exception does not end the watch. */
   void HandleResult(store_call_result result, void (table_watcher::*handle)(store_call_result));
-  void NoteEra(const store_call_result& result);
+  /** @return whether the response comes from a later era than the listener's rows. */
+  bool IsFromLaterEra(const store_response& response) const;
   void OnCallFailed(std::string_view reason);
   void OnCallSucceeded();
   void ScheduleAfter(std::chrono::milliseconds delay, void (table_watcher::*next)());
@@ -91,9 +92,7 @@
   asio::steady_timer timer_;
   std::mt19937_64 random_;
   /** Newest version seen; older tables are not applied. */
-  std::uint64_t version_ = 0;
-  /** Era that the last response named. */
-  std::uint64_t era_ = 0;
+  routing::store_version version_;
   bool loaded_ = false;
   bool connected_ = false;
   bool outage_reported_ = false;
--- a/include/tarragon/routing/endpoint_evidence.h
+++ b/include/tarragon/routing/endpoint_evidence.h
@@ -12,6 +12,7 @@
 
 #include "tarragon/base/clock.h"
 #include "tarragon/routing/endpoint_registry.h"
+#include "tarragon/routing/store_version.h"
 
 namespace tarragon::routing {
 
@@ -37,7 +38,7 @@
 struct endpoint_statement {
   endpoint_incarnation incarnation;
   /** Version of the endpoint's row that the witness knew. */
-  std::uint64_t row_version = 0;
+  store_version row_version;
   /** XXH3 hash of the name of the daemon that learned it first-hand. */
   std::uint64_t witness = 0;
   /** Increases with each statement of a witness, also when its process restarts. */
@@ -122,7 +123,7 @@
   struct record {
     std::int64_t number = 0;
     evidence_kind kind = evidence_kind::kRefused;
-    std::uint64_t row_version = 0;
+    store_version row_version;
     time_point observed_at;
     int sends_left = kSends;
   };
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -19,6 +19,7 @@
 #include "tarragon/routing/event_interval_tracker.h"
 #include "tarragon/routing/rate_limit.h"
 #include "tarragon/routing/slowness_tracker.h"
+#include "tarragon/routing/store_version.h"
 
 namespace tarragon::routing {
 
@@ -37,6 +38,8 @@
   std::chrono::milliseconds warm_up{0};
   /** Start of this incarnation in Unix milliseconds; 0 if unknown. */
   std::int64_t started_unix_ms = 0;
+
+  bool operator==(const endpoint_entry&) const = default;
 };
 
 /**
@@ -90,11 +93,11 @@
   /** The endpoint is cold until then: it is slow, and takes the requests of `cold_start` only. */
   time_point cold_until;
   /** Rows up to this version may be older than a cold start that `cold_until` allows for. */
-  std::uint64_t cold_since_version = 0;
+  store_version cold_since_version;
   /** When this daemon first learned that the endpoint is leaving. */
   std::optional<time_point> leaving_since;
   /** Version of the row that was applied last. */
-  std::uint64_t row_version = 0;
+  store_version row_version;
   /** No new requests until then: end of the cooldown after a failed connect, silence or decline. */
   time_point cooldown_until;
   /** Consecutive failures; a success resets the count. */
@@ -145,13 +148,15 @@
   void EndColdStarts(time_point now);
 
   /** Applies one row of the store. Ignored if a newer version or tombstone is known. */
-  void Put(time_point now, std::uint64_t row_version, endpoint_entry entry);
+  void Put(time_point now, const store_version& row_version, endpoint_entry entry);
 
   /** Removes an endpoint whose row was deleted or is unreadable; an outage defers the removal. */
-  void Remove(time_point now, std::uint64_t row_version, const std::string& id);
+  void Remove(time_point now, const store_version& row_version, const std::string& id);
 
   /** Removes all endpoints that a complete list lacks. @param ids all ids of the list. */
-  void RemoveUnlisted(time_point now, std::uint64_t version, const std::vector<std::string>& ids);
+  void RemoveUnlisted(time_point now,
+                      const store_version& version,
+                      const std::vector<std::string>& ids);
 
   /**
    * Marks an endpoint as leaving as reported by another daemon. Ignored if a newer row is known, or
@@ -159,7 +164,7 @@
    * endpoint of a service may leave.
    * @param id_hash XXH3 hash of the endpoint's id.
    */
-  void MarkLeaving(time_point now, std::uint64_t id_hash, std::uint64_t row_version);
+  void MarkLeaving(time_point now, std::uint64_t id_hash, const store_version& row_version);
 
   /**
    * Marks the incarnation that sent a response as leaving. Later rows of the same incarnation do
@@ -178,7 +183,7 @@
    * Applies the operator's order to evacuate a failure domain. Its endpoints, and those that are
    * listed later, accept no work. @return whether the order was not in force before.
    */
-  bool BeginEvacuation(std::uint64_t row_version, const std::string& failure_domain);
+  bool BeginEvacuation(const store_version& row_version, const std::string& failure_domain);
 
   /**
    * Applies the deletion of an order. The endpoints of the domain may have become cold meanwhile,
@@ -186,7 +191,9 @@
    * passed.
    * @return whether the order was in force before.
    */
-  bool EndEvacuation(time_point now, std::uint64_t row_version, const std::string& failure_domain);
+  bool EndEvacuation(time_point now,
+                     const store_version& row_version,
+                     const std::string& failure_domain);
 
   /**
    * Ends the evacuations that a complete list of orders lacks.
@@ -194,7 +201,7 @@
    * @return the domains that are no longer evacuated.
    */
   std::vector<std::string> EndUnlistedEvacuations(time_point now,
-                                                  std::uint64_t version,
+                                                  const store_version& version,
                                                   const std::vector<std::string>& listed);
 
   const evacuation_list& evacuations() const { return evacuations_; }
@@ -230,12 +237,19 @@
   void ValidateChanges();
 
  private:
+  /**
+   * @return whether a row is the known one, kept by the copy from which the store has returned. It
+   *     is no news: the time for which the endpoint stays cold has not begun again.
+   */
+  static bool IsKept(const endpoint& known,
+                     const store_version& row_version,
+                     const endpoint_entry& entry);
   static void ValidateState(const std::string& id, const endpoint_ptr& known);
   void ValidateIndices() const;
   void BeginLeaving(time_point now, const endpoint_ptr& target, leaving_source source);
   void Drop(time_point now, const std::string& id);
   /** Marks the endpoints of a domain that was taken back. */
-  void Return(time_point now, std::uint64_t row_version, const std::string& failure_domain);
+  void Return(time_point now, const store_version& row_version, const std::string& failure_domain);
   /** Sets when the endpoint gets warm, by a row that is newer than the last one. */
   static void SetColdUntil(time_point now, endpoint& known);
   /** Begins or ends the endpoint's limit for cold endpoints. */
@@ -261,7 +275,7 @@
   /** Ids of missing entries, with the time at which each was found missing. */
   std::map<std::string, time_point> missing_since_;
   /** Versions of deleted rows; an older row must not restore a deleted endpoint. */
-  std::map<std::string, std::uint64_t> tombstones_;
+  std::map<std::string, store_version> tombstones_;
   evacuation_list evacuations_;
   bool store_unavailable_ = false;
   std::optional<time_point> store_recovered_at_;
--- a/include/tarragon/routing/evacuation_list.h
+++ b/include/tarragon/routing/evacuation_list.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "tarragon/routing/store_version.h"
+
 namespace tarragon::routing {
 
 /**
@@ -18,10 +20,10 @@
 class evacuation_list final {
  public:
   /** Applies the row that orders an evacuation. @return whether the domain was in use before. */
-  bool Begin(const std::string& failure_domain, std::uint64_t row_version);
+  bool Begin(const std::string& failure_domain, const store_version& row_version);
 
   /** Applies the deletion of a row. @return whether the domain was evacuated before. */
-  bool End(const std::string& failure_domain, std::uint64_t row_version);
+  bool End(const std::string& failure_domain, const store_version& row_version);
 
   /**
    * Ends the evacuations whose rows a complete read lacks, unless they are newer than the read.
@@ -29,7 +31,7 @@
    * @param listed failure domains that have a row.
    * @return the domains that are no longer evacuated.
    */
-  std::vector<std::string> EndUnlisted(std::uint64_t version,
+  std::vector<std::string> EndUnlisted(const store_version& version,
                                        const std::vector<std::string>& listed);
 
   bool IsEvacuated(std::string_view failure_domain) const;
@@ -42,7 +44,7 @@
  private:
   struct order {
     /** Version of the row, or of its deletion. */
-    std::uint64_t version = 0;
+    store_version version;
     bool is_evacuated = false;
   };
 
--- a/include/tarragon/routing/peer_loads.h
+++ b/include/tarragon/routing/peer_loads.h
@@ -9,6 +9,7 @@
 
 #include "tarragon/base/clock.h"
 #include "tarragon/routing/endpoint_registry.h"
+#include "tarragon/routing/store_version.h"
 
 namespace tarragon::routing {
 
@@ -40,7 +41,7 @@
   /** XXH3 hash of the endpoint's id. */
   std::uint64_t endpoint_hash = 0;
   /** Version of the endpoint's row at the departure. */
-  std::uint64_t row_version = 0;
+  store_version row_version;
 };
 
 /** Report that a daemon sends to all other daemons. */
--- a/include/tarragon/routing/store_clock.h
+++ b/include/tarragon/routing/store_clock.h
@@ -16,11 +16,17 @@
  */
 class store_clock final {
  public:
-  /** Records the store's time in a message that is processed at `now`. */
-  void Record(time_point now, std::chrono::milliseconds store_time);
-
-  /** @return age of a message with this store time; zero before the first `Record`. */
-  duration Age(time_point now, std::chrono::milliseconds store_time) const;
+  /**
+   * Records the store's time in a message that is processed at `now`.
+   * @param era in which the store sent it; times of different eras are not comparable.
+   */
+  void Record(time_point now, std::uint64_t era, std::chrono::milliseconds store_time);
+
+  /**
+   * @return age of a message with this store time; zero before the first `Record`. A message of an
+   *     earlier era is at least as old as the daemon's knowledge of the present one.
+   */
+  duration Age(time_point now, std::uint64_t era, std::chrono::milliseconds store_time) const;
 
  private:
   /** Clocks drift apart by far less than a millisecond within this time. */
@@ -32,6 +38,8 @@
     duration offset{0};
   };
 
+  std::uint64_t era_ = 0;
+  time_point era_known_since_;
   std::optional<window> current_;
   std::optional<window> previous_;
 };
--- a/src/gateway/config_updater.cc
+++ b/src/gateway/config_updater.cc
@@ -10,6 +10,7 @@
 namespace tarragon::gateway {
 
 void config_updater::OnTable(const std::vector<table_row>& rows, const table_position& position) {
+  NoteEra(position);
   OnChanges(rows, position);
   gateway_.RunGuarded("evacuations", [&] { EndUnlistedEvacuations(rows, position); });
 }
@@ -20,6 +21,20 @@
   });
 }
 
+void config_updater::NoteEra(const table_position& position) {
+  const std::uint64_t era = position.version.era;
+  if (era_ == era) {
+    return;
+  }
+  const bool is_restored = era_.has_value();
+  gateway_.log.LogState("store_era", {{"era", era}, {"before", era_.value_or(0)}});
+  gateway_.counters.Gauge("tarragon_gateway_store_era").Set(static_cast<std::int64_t>(era));
+  era_ = era;
+  if (is_restored && gateway_.on_store_restored) {
+    gateway_.on_store_restored();
+  }
+}
+
 void config_updater::ApplyRow(const table_row& row, const table_position& position) {
   if (const auto failure_domain = gateway_.adapter.ReadEvacuatedDomain(row.key)) {
     ApplyEvacuation(*failure_domain, row, position);
@@ -58,7 +73,7 @@
 
 void config_updater::LogEvacuation(std::string_view event,
                                    const std::string& failure_domain,
-                                   std::uint64_t row_version,
+                                   const routing::store_version& row_version,
                                    const table_position& position) {
   const auto endpoints = std::ranges::count_if(
       gateway_.endpoints.all() | std::views::values, [&](const routing::endpoint_ptr& known) {
@@ -71,7 +86,8 @@
 }
 
 std::int64_t config_updater::AgeMs(const table_position& position) const {
-  const duration age = gateway_.store_time.Age(gateway_.time.Now(), position.store_time);
+  const duration age =
+      gateway_.store_time.Age(gateway_.time.Now(), position.version.era, position.store_time);
   return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
 }
 
@@ -106,13 +122,9 @@
   dependency_.LogLost(reason);
 }
 
-void config_updater::OnStoreEra(std::uint64_t era, std::uint64_t before) {
-  gateway_.log.LogState("store_era", {{"era", era}, {"before", before}});
-  gateway_.counters.Gauge("tarragon_gateway_store_era").Set(static_cast<std::int64_t>(era));
-}
-
-void config_updater::OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) {
-  dependency_.LogStaleRead(known_version, read_version);
+void config_updater::OnStaleRead(const routing::store_version& known,
+                                 const routing::store_version& read) {
+  dependency_.LogStaleRead(known, read);
 }
 
 void config_updater::OnStoreRegained(const store_outage& outage) {
--- a/src/gateway/daemon_table.cc
+++ b/src/gateway/daemon_table.cc
@@ -32,7 +32,7 @@
   channel_.Call(gateway_.adapter.PutRowCall(kTable, own_address_, row), kTimeout,
                 [this](const store_call_result& result) {
                   if (result && result.value().status == kOk) {
-                    gateway_.log.LogState("daemon_registered", {{"address", own_address_}});
+                    OnRegistered(result.value());
                     return;
                   }
                   timer_.expires_after(kRegisterRetryDelay);
@@ -44,12 +44,28 @@
                 });
 }
 
+void daemon_table::OnRegistered(const store_response& response) {
+  const decode_result<table_page> page = gateway_.adapter.DecodePage(response.body, response.era);
+  registered_at_ = page ? page.value().version : routing::store_version{response.era, 0};
+  gateway_.log.LogState("daemon_registered",
+                        {{"address", own_address_}, {"version", *registered_at_}});
+}
+
+void daemon_table::RegisterIfLost(const table_position& position) {
+  const bool is_lost =
+      registered_at_ && position.version > *registered_at_ && !domains_.contains(own_address_);
+  if (is_lost) {
+    registered_at_.reset();
+    Register();
+  }
+}
+
 void daemon_table::OnTable(const std::vector<table_row>& rows, const table_position& position) {
   domains_.clear();
   OnChanges(rows, position);
 }
 
-void daemon_table::OnChanges(const std::vector<table_row>& rows, const table_position&) {
+void daemon_table::OnChanges(const std::vector<table_row>& rows, const table_position& position) {
   for (const table_row& row : rows) {
     if (row.deleted) {
       domains_.erase(row.key);
@@ -59,10 +75,11 @@
           separator == std::string::npos ? std::string() : row.value.substr(separator + 1);
     }
   }
-  OnMembersChanged();
+  OnMembersChanged(position);
 }
 
-void daemon_table::OnMembersChanged() {
+void daemon_table::OnMembersChanged(const table_position& position) {
+  RegisterIfLost(position);
   domains_.insert_or_assign(own_address_, gateway_.own_failure_domain);
   gateway_.daemons = domains_.size();
   std::vector<routing::relay_member> others;
@@ -79,8 +96,9 @@
   dependency_.LogLost(reason);
 }
 
-void daemon_table::OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) {
-  dependency_.LogStaleRead(known_version, read_version);
+void daemon_table::OnStaleRead(const routing::store_version& known,
+                               const routing::store_version& read) {
+  dependency_.LogStaleRead(known, read);
 }
 
 void daemon_table::OnStoreRegained(const store_outage& outage) {
--- a/src/gateway/dependency_log.cc
+++ b/src/gateway/dependency_log.cc
@@ -9,9 +9,10 @@
   log_.LogState("dependency_lost", {{"dependency", dependency_}, {"reason", reason}});
 }
 
-void dependency_log::LogStaleRead(std::uint64_t known_version, std::uint64_t read_version) {
+void dependency_log::LogStaleRead(const routing::store_version& known,
+                                  const routing::store_version& read) {
   log_.LogState("table_read_stale",
-                {{"dependency", dependency_}, {"known", known_version}, {"read", read_version}});
+                {{"dependency", dependency_}, {"known", known}, {"read", read}});
 }
 
 void dependency_log::LogRegained(const store_outage& outage) {
--- a/src/gateway/endpoint_updater.cc
+++ b/src/gateway/endpoint_updater.cc
@@ -58,8 +58,9 @@
   dependency_.LogLost(reason);
 }
 
-void endpoint_updater::OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) {
-  dependency_.LogStaleRead(known_version, read_version);
+void endpoint_updater::OnStaleRead(const routing::store_version& known,
+                                   const routing::store_version& read) {
+  dependency_.LogStaleRead(known, read);
 }
 
 void endpoint_updater::OnStoreRegained(const store_outage& outage) {
--- a/src/gateway/evidence_message.cc
+++ b/src/gateway/evidence_message.cc
@@ -1,6 +1,7 @@
 #include "tarragon/gateway/evidence_message.h"
 
 #include "gateway/datagram.h"
+#include "gateway/version_serialization.h"
 
 namespace tarragon::routing {
 
@@ -19,7 +20,7 @@
 namespace {
 
 /** Checksum seed; must change with the datagram format. */
-constexpr std::uint64_t kFormat = 0x74676531;
+constexpr std::uint64_t kFormat = 0x74676532;
 
 }  // namespace
 
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -184,6 +184,7 @@
       loads.ScheduleExchange();
     };
     shared.on_evidence = [this] { gossip.ScheduleEvidence(); };
+    shared.on_store_restored = [this] { quarantine.SaveAgain(); };
     shared.on_work_done = [this] { ExitIfIdle(); };
     shared.quarantine.SetListener([this](const routing::request_trait& trait, bool is_own) {
       log.LogState("trait_quarantined", {{"trait", fmt::format("{:016x}", trait.id.value)},
--- a/src/gateway/load_gossip.cc
+++ b/src/gateway/load_gossip.cc
@@ -9,6 +9,7 @@
 
 #include "gateway/datagram.h"
 #include "gateway/load_serialization.h"
+#include "gateway/version_serialization.h"
 #include "tarragon/base/hash.h"
 #include "tarragon/gateway/crash_message.h"
 #include "tarragon/gateway/evidence_message.h"
@@ -35,7 +36,7 @@
 namespace {
 
 /** Checksum seed; must change with the datagram format. */
-constexpr std::uint64_t kFormat = 0x74676c35;
+constexpr std::uint64_t kFormat = 0x74676c36;
 
 }  // namespace
 
--- a/src/gateway/quarantine_table.cc
+++ b/src/gateway/quarantine_table.cc
@@ -29,10 +29,17 @@
 }
 
 void quarantine_table::Save() {
+  has_saved_ = true;
   write_wanted_ = true;
   StartCall();
 }
 
+void quarantine_table::SaveAgain() {
+  if (has_saved_) {
+    Save();
+  }
+}
+
 void quarantine_table::StartCall() {
   if (call_pending_) {
     return;
@@ -52,7 +59,7 @@
 
 void quarantine_table::OnPage(const store_call_result& result) {
   const bool answered = result && result.value().status == kOk;
-  const auto page = answered ? gateway_.adapter.DecodePage(result.value().body)
+  const auto page = answered ? gateway_.adapter.DecodePage(result.value().body, result.value().era)
                              : decode_result<table_page>(decode_error{"no answer"});
   if (!page) {
     RetryLater();
--- a/src/gateway/relay_message.cc
+++ b/src/gateway/relay_message.cc
@@ -11,6 +11,7 @@
 
 #include "gateway/checksum.h"
 #include "gateway/load_serialization.h"
+#include "gateway/version_serialization.h"
 
 namespace tarragon::gateway {
 
@@ -44,7 +45,7 @@
 namespace {
 
 /** Checksum seed; must change with the message format. */
-constexpr std::uint64_t kFormat = 0x74676c74;
+constexpr std::uint64_t kFormat = 0x74676c75;
 constexpr std::size_t kLengthBytes = 4;
 
 std::size_t ReadLength(std::string_view bytes) {
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -4,6 +4,7 @@
 #include <asio/post.hpp>
 #include <iterator>
 #include <ranges>
+#include <tuple>
 #include <utility>
 
 #include "tarragon/gateway/socket_options.h"
@@ -12,6 +13,15 @@
 
 namespace tarragon::gateway {
 
+namespace {
+
+bool IsConfirmedBefore(const table_position& earlier, const table_position& later) {
+  return std::tuple(earlier.version.era, earlier.store_time) <
+         std::tuple(later.version.era, later.store_time);
+}
+
+}  // namespace
+
 relay_node::relay_node(gateway_state& gateway,
                        std::vector<relayed_table> tables,
                        load_relay& loads,
@@ -23,7 +33,7 @@
       acceptor_(gateway.loop),
       timer_(gateway.loop),
       accept_timer_(gateway.loop),
-      link_store_times_(tables_.size()) {
+      link_positions_(tables_.size()) {
   for (const relayed_table& table : tables_) {
     table.watcher.SetRegainedListener(
         [this, regained = &table.watcher] { RetryOthers(*regained); });
@@ -123,11 +133,13 @@
     const std::optional<duration> age = tables_[table].replica.Age();
     view.loaded = view.loaded && age.has_value();
     view.age = std::max(view.age, age.value_or(duration::zero()));
-    const auto& received = link_store_times_[table];
+    const auto& received = link_positions_[table];
     if (!received) {
       view.source_age.reset();
     } else if (view.source_age) {
-      view.source_age = std::max(*view.source_age, gateway_.store_time.Age(now, *received));
+      view.source_age =
+          std::max(*view.source_age,
+                   gateway_.store_time.Age(now, received->version.era, received->store_time));
     }
   }
   return view;
@@ -165,7 +177,8 @@
     if (reads_store) {
       table.watcher.SetPace(PaceOf(selector_.plan(), table.essential));
       const table_replica& replica = table.replica;
-      table.watcher.Start(replica.is_loaded() ? replica.position().version : 0);
+      table.watcher.Start(replica.is_loaded() ? replica.position().version
+                                              : routing::store_version());
     } else if (table.essential || table.replica.is_loaded()) {
       table.watcher.Stop();
     }
@@ -196,11 +209,11 @@
   }
   relay_subscription subscription{
       .vm = gateway_.own_vm, .kind = subscription_kind::kRows, .versions = {}};
-  std::ranges::transform(tables_, std::back_inserter(subscription.versions),
-                         [](const relayed_table& table) {
-                           const table_replica& replica = table.replica;
-                           return replica.is_loaded() ? replica.position().version : 0;
-                         });
+  std::ranges::transform(
+      tables_, std::back_inserter(subscription.versions), [](const relayed_table& table) {
+        const table_replica& replica = table.replica;
+        return replica.is_loaded() ? replica.position().version : routing::store_version();
+      });
   link_ = std::make_shared<relay_connection>(asio::ip::tcp::socket(gateway_.loop), *this);
   link_->Connect(*target, subscription);
 }
@@ -212,7 +225,7 @@
   }
   link_address_.clear();
   source_lost_store_ = false;
-  std::ranges::fill(link_store_times_, std::nullopt);
+  std::ranges::fill(link_positions_, std::nullopt);
 }
 
 void relay_node::OnRelayMessage(relay_connection& connection, relay_message message) {
@@ -238,7 +251,7 @@
   }
   table_replica& replica = tables_[message.table].replica;
   source_lost_store_ = message.store_lost;
-  const std::chrono::milliseconds store_time = message.update.position.store_time;
+  const table_position& position = message.update.position;
   if (!replica.Apply(message.update)) {
     gateway_.log.LogState("relay_gap", {{"table", tables_[message.table].name},
                                         {"source", link_address_},
@@ -248,9 +261,11 @@
     Update();
     return;
   }
-  std::optional<std::chrono::milliseconds>& received = link_store_times_[message.table];
+  std::optional<table_position>& received = link_positions_[message.table];
   const bool first = !received;
-  received = std::max(received.value_or(store_time), store_time);
+  if (first || IsConfirmedBefore(*received, position)) {
+    received = position;
+  }
   gateway_.counters.Counter("tarragon_gateway_relay_updates_total").Add();
   if (first) {
     // The first update may complete the tables that readiness waits for.
--- a/src/gateway/table_replica.cc
+++ b/src/gateway/table_replica.cc
@@ -14,11 +14,17 @@
   if (loaded_ && position.version < position_.version) {
     return false;
   }
-  store_time_.Record(time_.Now(), position.store_time);
+  const bool is_new_era = loaded_ && position.version.era > position_.version.era;
+  if (is_new_era) {
+    // The copy may lack rows that are about to be written again, as after any outage.
+    OnStoreLost("the store has returned from a copy");
+  }
+  store_time_.Record(time_.Now(), position.version.era, position.store_time);
+  position_.store_time =
+      is_new_era ? position.store_time : std::max(position_.store_time, position.store_time);
   position_.version = position.version;
-  position_.store_time = std::max(position_.store_time, position.store_time);
   constexpr duration kRecent = std::chrono::seconds(1);
-  if (store_time_.Age(time_.Now(), position.store_time) < kRecent) {
+  if (store_time_.Age(time_.Now(), position.version.era, position.store_time) < kRecent) {
     OnStoreRegained({});
   }
   return true;
@@ -92,12 +98,9 @@
   }
 }
 
-void table_replica::OnStoreEra(std::uint64_t era, std::uint64_t before) {
-  listener_.OnStoreEra(era, before);
-}
-
-void table_replica::OnStaleRead(std::uint64_t known_version, std::uint64_t read_version) {
-  listener_.OnStaleRead(known_version, read_version);
+void table_replica::OnStaleRead(const routing::store_version& known,
+                                const routing::store_version& read) {
+  listener_.OnStaleRead(known, read);
 }
 
 void table_replica::OnStoreRegained(const store_outage& outage) {
@@ -107,7 +110,7 @@
 }
 
 bool table_replica::Apply(const table_update& update) {
-  if (update.base_version == 0) {
+  if (update.base_version == routing::store_version()) {
     OnTable(update.rows, update.position);
     return true;
   }
@@ -118,11 +121,13 @@
   return true;
 }
 
-table_update table_replica::ChangesSince(std::uint64_t version) const {
+table_update table_replica::ChangesSince(const routing::store_version& version) const {
   table_update update{.base_version = version, .position = position_, .rows = {}};
-  const bool complete = version == 0 || version < complete_since_;
+  // Rows that the follower knows of an earlier era may be lost without this replica knowing them.
+  const bool complete = version.era < position_.version.era || version < complete_since_ ||
+                        version == routing::store_version();
   if (complete) {
-    update.base_version = 0;
+    update.base_version = {};
   }
   for (const table_row& row : rows_ | std::views::values) {
     if (complete ? !row.deleted : row.version > version) {
@@ -135,7 +140,10 @@
 }
 
 std::optional<duration> table_replica::Age() const {
-  return loaded_ ? std::optional(store_time_.Age(time_.Now(), position_.store_time)) : std::nullopt;
+  if (!loaded_) {
+    return std::nullopt;
+  }
+  return store_time_.Age(time_.Now(), position_.version.era, position_.store_time);
 }
 
 void table_replica::Validate() const {
--- a/src/gateway/table_watcher.cc
+++ b/src/gateway/table_watcher.cc
@@ -37,7 +37,7 @@
       random_(seed),
       backoff_(options.initial_backoff, options.max_backoff) {}
 
-void table_watcher::Start(std::uint64_t known_version) {
+void table_watcher::Start(const routing::store_version& known_version) {
   if (std::exchange(running_, true)) {
     return;
   }
@@ -45,7 +45,7 @@
   connected_ = false;
   backoff_.Reset();
   version_ = std::max(version_, known_version);
-  loaded_ = loaded_ || known_version > 0;
+  loaded_ = loaded_ || known_version > routing::store_version();
   Retry();
 }
 
@@ -77,7 +77,6 @@
 void table_watcher::HandleResult(store_call_result result,
                                  void (table_watcher::*handle)(store_call_result)) {
   try {
-    NoteEra(result);
     (this->*handle)(std::move(result));
   } catch (const std::exception& error) {
     // What the listener has applied is unknown, so that the table is read again.
@@ -86,10 +85,8 @@
   }
 }
 
-void table_watcher::NoteEra(const store_call_result& result) {
-  if (result && result.value().era != era_) {
-    listener_.OnStoreEra(result.value().era, std::exchange(era_, result.value().era));
-  }
+bool table_watcher::IsFromLaterEra(const store_response& response) const {
+  return response.era > version_.era;
 }
 
 void table_watcher::Load() {
@@ -112,11 +109,16 @@
     OnCallFailed(FailureReason(result));
     return;
   }
-  decode_result<table_page> page = adapter_.DecodePage(result.value().body);
+  decode_result<table_page> page = adapter_.DecodePage(result.value().body, result.value().era);
   if (!page) {
     OnCallFailed(page.error().message);
     return;
   }
+  if (page_position_ && page_position_->version.era != page.value().version.era) {
+    // The store has returned from a copy between two pages.
+    Load();
+    return;
+  }
   // The feed starts at the oldest page's version, and so repeats changes made between the pages.
   if (!page_position_ || page.value().version < page_position_->version) {
     page_position_ = {page.value().version, page.value().store_time};
@@ -150,8 +152,8 @@
   last_feed_ = std::chrono::steady_clock::now();
   // The first call after a failure does not wait, so that the end of an outage is seen at once.
   const std::chrono::milliseconds wait = connected_ ? options_.wait : std::chrono::milliseconds(0);
-  channel_.Call(adapter_.WatchTableCall(table_, version_, wait), wait + options_.response_timeout,
-                [this](store_call_result result) {
+  channel_.Call(adapter_.WatchTableCall(table_, version_.number, wait),
+                wait + options_.response_timeout, [this](store_call_result result) {
                   if (running_) {
                     HandleResult(std::move(result), &table_watcher::OnFeed);
                   }
@@ -167,11 +169,21 @@
     OnCallFailed(FailureReason(result));
     return;
   }
-  const decode_result<table_page> page = adapter_.DecodePage(result.value().body);
+  const decode_result<table_page> page =
+      adapter_.DecodePage(result.value().body, result.value().era);
   if (!page) {
     OnCallFailed(page.error().message);
     return;
   }
+  if (result.value().era < version_.era) {
+    OnCallFailed("the response is from an earlier era of the store");
+    return;
+  }
+  if (IsFromLaterEra(result.value())) {
+    // The feed started at a version of the earlier era, so that it may lack rows.
+    Load();
+    return;
+  }
   OnCallSucceeded();
   version_ = std::max(version_, page.value().version);
   listener_.OnChanges(page.value().rows, {version_, page.value().store_time});
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -40,7 +40,9 @@
   return *this;
 }
 
-void endpoint_registry::Put(time_point now, std::uint64_t row_version, endpoint_entry entry) {
+void endpoint_registry::Put(time_point now,
+                            const store_version& row_version,
+                            endpoint_entry entry) {
   const auto tombstone = tombstones_.find(entry.id);
   if (tombstone != tombstones_.end()) {
     if (tombstone->second >= row_version) {
@@ -50,7 +52,7 @@
   }
   missing_since_.erase(entry.id);
   endpoint_ptr& known = endpoints_[entry.id];
-  if (known && known->row_version > row_version) {
+  if (known && (known->row_version > row_version || IsKept(*known, row_version, entry))) {
     return;
   }
   const bool same_incarnation = known && known->entry.address == entry.address &&
@@ -82,12 +84,21 @@
   }
 }
 
-void endpoint_registry::Remove(time_point now, std::uint64_t row_version, const std::string& id) {
+bool endpoint_registry::IsKept(const endpoint& known,
+                               const store_version& row_version,
+                               const endpoint_entry& entry) {
+  return known.row_version.era < row_version.era &&
+         known.row_version.number == row_version.number && known.entry == entry;
+}
+
+void endpoint_registry::Remove(time_point now,
+                               const store_version& row_version,
+                               const std::string& id) {
   const auto found = endpoints_.find(id);
   if (found != endpoints_.end() && found->second->row_version > row_version) {
     return;
   }
-  std::uint64_t& version = tombstones_[id];
+  store_version& version = tombstones_[id];
   version = std::max(version, row_version);
   if (tombstones_.size() > kMaxTombstones) {
     tombstones_.erase(std::ranges::min_element(
@@ -100,7 +111,7 @@
 }
 
 void endpoint_registry::RemoveUnlisted(time_point now,
-                                       std::uint64_t version,
+                                       const store_version& version,
                                        const std::vector<std::string>& ids) {
   const std::set<std::string_view> listed_ids(ids.begin(), ids.end());
   std::vector<std::string> absent_ids;
@@ -114,7 +125,7 @@
 
 void endpoint_registry::MarkLeaving(time_point now,
                                     std::uint64_t id_hash,
-                                    std::uint64_t row_version) {
+                                    const store_version& row_version) {
   const endpoint_ptr found = FindByHash(id_hash);
   if (!found || found->leaving || found->row_version > row_version) {
     return;
@@ -144,7 +155,7 @@
   });
 }
 
-bool endpoint_registry::BeginEvacuation(std::uint64_t row_version,
+bool endpoint_registry::BeginEvacuation(const store_version& row_version,
                                         const std::string& failure_domain) {
   const bool has_begun = evacuations_.Begin(failure_domain, row_version);
   if (has_begun) {
@@ -155,7 +166,7 @@
 }
 
 bool endpoint_registry::EndEvacuation(time_point now,
-                                      std::uint64_t row_version,
+                                      const store_version& row_version,
                                       const std::string& failure_domain) {
   const bool has_ended = evacuations_.End(failure_domain, row_version);
   if (has_ended) {
@@ -166,7 +177,7 @@
 
 std::vector<std::string> endpoint_registry::EndUnlistedEvacuations(
     time_point now,
-    std::uint64_t version,
+    const store_version& version,
     const std::vector<std::string>& listed) {
   std::vector<std::string> ended = evacuations_.EndUnlisted(version, listed);
   std::ranges::for_each(
@@ -175,7 +186,7 @@
 }
 
 void endpoint_registry::Return(time_point now,
-                               std::uint64_t row_version,
+                               const store_version& row_version,
                                const std::string& failure_domain) {
   for (const endpoint_ptr& known : FindByFailureDomain(failure_domain)) {
     known->evacuated = false;
--- a/src/routing/evacuation_list.cc
+++ b/src/routing/evacuation_list.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-bool evacuation_list::Begin(const std::string& failure_domain, std::uint64_t row_version) {
+bool evacuation_list::Begin(const std::string& failure_domain, const store_version& row_version) {
   order& known = orders_[failure_domain];
   if (known.version >= row_version) {
     return false;
@@ -30,7 +30,7 @@
   return true;
 }
 
-bool evacuation_list::End(const std::string& failure_domain, std::uint64_t row_version) {
+bool evacuation_list::End(const std::string& failure_domain, const store_version& row_version) {
   order& known = orders_[failure_domain];
   // A read of the same version as the row that lacks the row has seen its deletion.
   if (known.version > row_version) {
@@ -44,7 +44,7 @@
   return was_evacuated;
 }
 
-std::vector<std::string> evacuation_list::EndUnlisted(std::uint64_t version,
+std::vector<std::string> evacuation_list::EndUnlisted(const store_version& version,
                                                       const std::vector<std::string>& listed) {
   std::vector<std::string> ended;
   for (const auto& [failure_domain, known] : orders_) {
--- a/src/routing/store_clock.cc
+++ b/src/routing/store_clock.cc
@@ -4,7 +4,16 @@
 
 namespace tarragon::routing {
 
-void store_clock::Record(time_point now, std::chrono::milliseconds store_time) {
+void store_clock::Record(time_point now, std::uint64_t era, std::chrono::milliseconds store_time) {
+  if (era < era_) {
+    return;
+  }
+  if (era > era_) {
+    era_ = era;
+    era_known_since_ = now;
+    current_.reset();
+    previous_.reset();
+  }
   const std::int64_t number = now.time_since_epoch() / kWindow;
   const duration offset = store_time - now.time_since_epoch();
   if (!current_ || current_->number != number) {
@@ -15,7 +24,12 @@
   current_->offset = std::max(current_->offset, offset);
 }
 
-duration store_clock::Age(time_point now, std::chrono::milliseconds store_time) const {
+duration store_clock::Age(time_point now,
+                          std::uint64_t era,
+                          std::chrono::milliseconds store_time) const {
+  if (era < era_) {
+    return now - era_known_since_;
+  }
   if (!current_) {
     return duration::zero();
   }
--- a/tests/emulator/gateway_fleet_test.cc
+++ b/tests/emulator/gateway_fleet_test.cc
@@ -325,11 +325,14 @@
   EXPECT_EQ(traffic.CrashingRuns(), runs_before);
 }
 
-/** Injects one fault of a random kind. */
-void InjectRandomFault(fleet_emulator& fleet) {
-  constexpr std::uint64_t kFaultKinds = 8;
+constexpr std::uint64_t kFaultKinds = 8;
+/** Further kinds: the store makes a copy, or returns from the last one. */
+constexpr std::uint64_t kRestoringFaultKinds = 11;
+
+/** Injects one fault of a random kind below `kinds`. */
+void InjectRandomFault(fleet_emulator& fleet, std::uint64_t kinds = kFaultKinds) {
   const std::size_t victim = fleet.random()() % fleet.gateway_count();
-  switch (fleet.random()() % kFaultKinds) {
+  switch (fleet.random()() % kinds) {
     case 0:
       fleet.gateway(victim).Kill();
       fleet.gateway(victim).Start();
@@ -355,6 +358,13 @@
     case 6:
       fleet.gateway(victim).SendSignal(SIGHUP);
       break;
+    case 8:
+    case 9:
+      fleet.store().MakeCopy();
+      break;
+    case 10:
+      fleet.store().RestoreCopy();
+      break;
     default:
       fleet.ReplaceEngine(milliseconds(200 + fleet.random()() % 800));
       break;
@@ -409,6 +419,38 @@
   EXPECT_EQ(fleet.DescribeViolations(), "") << "seed " << GetParam();
 }
 
+// Same, if the store returns from copies as well; the newest configuration must be in force at all
+// gateways afterwards, and all of them be known.
+TEST_P(gateway_faults_test, KeepsPromisesWhenTheStoreReturnsFromCopies) {
+  fleet_options options;
+  options.seed = GetParam();
+  options.plain_faults = {.lost_responses = 0.05, .declined = 0.05, .errors = 0.05};
+  fleet_emulator fleet(options);
+  ASSERT_TRUE(fleet.WaitUntilServing());
+  fleet.store().MakeCopy();
+  constexpr int kRounds = 25;
+  for (int round = 0; round < kRounds; ++round) {
+    SendRandomRequests(fleet);
+    fleet.RunFor(milliseconds(60));
+    InjectRandomFault(fleet, kRestoringFaultKinds);
+    fleet.RunFor(milliseconds(60));
+    ASSERT_EQ(fleet.DescribeViolations(), "") << "seed " << GetParam() << ", round " << round;
+  }
+  fleet.store().RestoreCopy();
+  fleet.store().SetState(store_state::kServing);
+  fleet.WriteConfig();
+  const std::string newest = fmt::format("config_in_force version={} ", fleet.config_version());
+  EXPECT_TRUE(fleet.RunUntil(
+      [&] { return fleet.FindInLogs(newest).size() == fleet.gateway_count(); }, seconds(5)))
+      << "seed " << GetParam();
+  EXPECT_TRUE(fleet.RunUntil(
+      [&] { return fleet.store().RowCount("daemons") == fleet.gateway_count(); }, seconds(5)))
+      << "seed " << GetParam();
+  EXPECT_TRUE(fleet.WaitUntilServing()) << "seed " << GetParam();
+  EXPECT_TRUE(fleet.RunUntil([&] { return AllRequestsDone(fleet); }, seconds(25)));
+  EXPECT_EQ(fleet.DescribeViolations(), "") << "seed " << GetParam();
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, gateway_faults_test, testing::ValuesIn(Seeds()));
 
 }  // namespace
--- a/tests/gateway/quarantine_table_test.cc
+++ b/tests/gateway/quarantine_table_test.cc
@@ -60,5 +60,18 @@
   EXPECT_EQ(channel.targets.size(), 2U);
 }
 
+// Guards against a quarantine that daemons which start later do not know because the store has lost
+// its row, and against rows of daemons that have written none.
+TEST_F(quarantine_table_test, WritesItsRowAgainOnlyIfThereIsOne) {
+  table.SaveAgain();
+  EXPECT_TRUE(channel.targets.empty());
+  channel.results = {store_response{200, "{}"}, store_response{200, "{}"}};
+  table.Save();
+  EXPECT_TRUE(RunUntil([&] { return channel.results.size() == 1; }));
+  RunFor(std::chrono::milliseconds(5), [] { return false; });
+  table.SaveAgain();
+  EXPECT_TRUE(RunUntil([&] { return channel.results.empty(); }));
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
--- a/tests/gateway/relay_message_test.cc
+++ b/tests/gateway/relay_message_test.cc
@@ -21,7 +21,7 @@
 // Guards against a field that is lost or swapped, and against frames that are joined or split.
 RC_GTEST_PROP(RelayMessageTest, FramesSurviveAnySplit, ()) {
   const std::string bytes =
-      EncodeFrame(relay_subscription{"vm-1", subscription_kind::kRows, {3, 0, 5}}) +
+      EncodeFrame(relay_subscription{"vm-1", subscription_kind::kRows, {3, 0, {2, 5}}}) +
       EncodeFrame(MakeUpdate());
   const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
   relay_frame_reader reader;
@@ -31,7 +31,7 @@
   RC_ASSERT(messages.size() == 2U);
   const auto& subscription = std::get<relay_subscription>(messages[0]);
   RC_ASSERT(subscription.vm == "vm-1");
-  RC_ASSERT(subscription.versions == std::vector<std::uint64_t>({3, 0, 5}));
+  RC_ASSERT(subscription.versions == std::vector<routing::store_version>({3, 0, {2, 5}}));
   const auto& update = std::get<relay_update>(messages[1]);
   RC_ASSERT(update.table == 1 && update.store_lost && update.update.base_version == 7U);
   RC_ASSERT(update.update.position.version == 9U);
--- a/tests/gateway/table_replica_test.cc
+++ b/tests/gateway/table_replica_test.cc
@@ -4,6 +4,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
 #include <map>
 #include <string>
 #include <vector>
@@ -27,7 +30,7 @@
   void OnStoreLost(std::string_view) override { ++losses; }
   void OnStoreRegained(const store_outage&) override { ++returns; }
 
-  std::map<std::string, std::uint64_t> contents;
+  std::map<std::string, routing::store_version> contents;
   int losses = 0;
   int returns = 0;
 
@@ -51,7 +54,7 @@
   table_replica replica{consumer, clock, store_time, [this] { ++changes; }};
 };
 
-table_row Row(std::string key, std::uint64_t version, bool deleted = false) {
+table_row Row(std::string key, routing::store_version version, bool deleted = false) {
   return {std::move(key), "", version, deleted};
 }
 
@@ -61,7 +64,7 @@
   daemon.replica.OnTable({Row("a", 5)}, {10, milliseconds(100)});
   EXPECT_TRUE(daemon.replica.Apply({0, {8, milliseconds(90)}, {Row("a", 3), Row("b", 4)}}));
   EXPECT_TRUE(daemon.replica.Apply({7, {9, milliseconds(95)}, {Row("b", 9)}}));
-  EXPECT_EQ(daemon.consumer.contents, (std::map<std::string, std::uint64_t>{{"a", 5}}));
+  EXPECT_EQ(daemon.consumer.contents, (std::map<std::string, routing::store_version>{{"a", 5}}));
   EXPECT_EQ(daemon.replica.position().version, 10U);
   EXPECT_EQ(daemon.replica.position().store_time, milliseconds(100));
 }
@@ -87,7 +90,7 @@
   source.replica.OnTable({Row("b", 2)}, {9, milliseconds(2)});
   EXPECT_TRUE(
       follower.replica.Apply(source.replica.ChangesSince(follower.replica.position().version)));
-  EXPECT_EQ(follower.consumer.contents, (std::map<std::string, std::uint64_t>{{"b", 2}}));
+  EXPECT_EQ(follower.consumer.contents, (std::map<std::string, routing::store_version>{{"b", 2}}));
 }
 
 // Guards against a store outage that a follower never sees end.
@@ -105,44 +108,95 @@
   EXPECT_EQ(daemon.consumer.returns, 1);
 }
 
-// Guards against any order of changes, reads of the table and dropped tombstones after which a
-// follower differs from the store.
+/** A table of the store, which may return from a copy. */
+struct fake_store_table {
+  std::map<std::string, routing::store_version> rows;
+  routing::store_version version{1, 1};
+
+  void Change(const std::string& key, bool remove) {
+    ++version.number;
+    if (remove) {
+      rows.erase(key);
+    } else {
+      rows[key] = version;
+    }
+  }
+
+  /** Rows that the copy has kept are read with the new era. */
+  void Restore(const fake_store_table& copy) {
+    const std::uint64_t era = version.era + 1;
+    rows = copy.rows;
+    version = {era, copy.version.number};
+    std::ranges::for_each(rows, [era](auto& row) { row.second.era = era; });
+  }
+
+  std::vector<table_row> Read() const {
+    std::vector<table_row> read;
+    std::ranges::transform(rows, std::back_inserter(read),
+                           [](const auto& row) { return Row(row.first, row.second); });
+    return read;
+  }
+
+  table_position Position() const { return {version, milliseconds(version.number)}; }
+};
+
+// Guards against any order of changes, reads of the table, dropped tombstones and returns of the
+// store from a copy after which a follower differs from the store.
 RC_GTEST_PROP(TableReplicaTest, FollowersEqualTheStore, ()) {
-  std::map<std::string, std::uint64_t> store;
-  std::uint64_t version = 1;
+  fake_store_table store;
+  fake_store_table copy;
   replica_under_test source;
   replica_under_test follower;
-  source.replica.OnTable({}, {version, milliseconds(1)});
+  source.replica.OnTable({}, store.Position());
   const int steps = *rc::gen::inRange(1, 60);
   for (int step = 0; step < steps; ++step) {
     const std::string key = fmt::format("k{}", *rc::gen::inRange(0, 6));
     const bool remove = *rc::gen::arbitrary<bool>();
-    ++version;
-    if (remove) {
-      store.erase(key);
-    } else {
-      store[key] = version;
+    const int event = *rc::gen::inRange(0, 8);
+    if (event == 0) {
+      copy = store;
     }
-    if (*rc::gen::inRange(0, 4) == 0) {
-      std::vector<table_row> rows;
-      rows.reserve(store.size());
-      for (const auto& [name, row_version] : store) {
-        rows.push_back(Row(name, row_version));
-      }
-      source.replica.OnTable(rows, {version, milliseconds(version)});
+    if (event == 1) {
+      store.Restore(copy);
+    }
+    store.Change(key, remove);
+    if (event <= 2) {
+      source.replica.OnTable(store.Read(), store.Position());
     } else {
-      source.replica.OnChanges({Row(key, version, remove)}, {version, milliseconds(version)});
+      source.replica.OnChanges({Row(key, store.version, remove)}, store.Position());
     }
     if (*rc::gen::arbitrary<bool>()) {
-      const std::uint64_t known =
-          follower.replica.is_loaded() ? follower.replica.position().version : 0;
+      const routing::store_version known = follower.replica.is_loaded()
+                                               ? follower.replica.position().version
+                                               : routing::store_version();
       RC_ASSERT(follower.replica.Apply(source.replica.ChangesSince(known)));
-      RC_ASSERT(follower.consumer.contents == store);
+      RC_ASSERT(follower.consumer.contents == store.rows);
     }
     source.replica.Validate();
     follower.replica.Validate();
   }
-  RC_ASSERT(source.consumer.contents == store);
+  RC_ASSERT(source.consumer.contents == store.rows);
+}
+
+// Guards against a follower that keeps a row which was lost with an earlier era, and which its new
+// source never had.
+TEST(TableReplicaTest, RowsOfAnEarlierEraThatTheSourceNeverHadAreDropped) {
+  replica_under_test source;
+  source.replica.OnTable({Row("a", {2, 5})}, {{2, 6}, milliseconds(10)});
+  replica_under_test follower;
+  follower.replica.OnTable({Row("a", {1, 5}), Row("b", {1, 9})}, {{1, 9}, milliseconds(9)});
+  EXPECT_TRUE(
+      follower.replica.Apply(source.replica.ChangesSince(follower.replica.position().version)));
+  EXPECT_EQ(follower.consumer.contents, source.consumer.contents);
+  EXPECT_EQ(follower.consumer.losses, 1);
+}
+
+// Guards against a daemon that goes back to an earlier era because a source is still there.
+TEST(TableReplicaTest, NeverGoesBackToAnEarlierEra) {
+  replica_under_test daemon;
+  daemon.replica.OnTable({Row("a", {2, 5})}, {{2, 6}, milliseconds(10)});
+  EXPECT_TRUE(daemon.replica.Apply({{}, {{1, 90}, milliseconds(90)}, {Row("a", {1, 80})}}));
+  EXPECT_EQ(daemon.consumer.contents.at("a"), routing::store_version(2, 5));
 }
 
 }  // namespace
--- a/tests/gateway/table_watcher_test.cc
+++ b/tests/gateway/table_watcher_test.cc
@@ -78,6 +78,41 @@
             (std::vector<std::string>{"table 0 rows at 20", "table 1 rows at 21"}));
 }
 
+store_call_result PageOfEra(std::uint64_t era, std::string_view rows, int version) {
+  store_call_result page = Page(rows, version);
+  page.value().era = era;
+  return page;
+}
+
+// Guards against rows that are never seen because a store that has returned from a copy has given
+// out their versions before, so that the feed does not show them.
+TEST_F(table_watcher_test, ReadsTheTableAgainInANewEra) {
+  channel.results = {PageOfEra(1, Row("a", 20), 20), PageOfEra(2, Row("b", 25), 25),
+                     PageOfEra(2, Row("a", 9), 25)};
+  Run();
+  EXPECT_EQ(listener.events,
+            (std::vector<std::string>{"table 1 rows at 1/20", "table 1 rows at 2/25"}));
+  EXPECT_NE(channel.targets.at(2).find("rows-get"), std::string::npos);
+}
+
+// Guards against a daemon that waits until the versions of a new era pass the last one it knew.
+TEST_F(table_watcher_test, ALowerVersionOfANewEraIsNotStale) {
+  store_call_result gone = store_response{410, "", 2};
+  channel.results = {PageOfEra(1, Row("a", 20), 20), gone, PageOfEra(2, Row("a", 9), 12)};
+  Run();
+  EXPECT_EQ(listener.events,
+            (std::vector<std::string>{"table 1 rows at 1/20", "table 1 rows at 2/12"}));
+}
+
+// Guards against a table put together from pages of two eras.
+TEST_F(table_watcher_test, PagesOfTwoErasAreReadAgain) {
+  store_call_result first = Page(Row("a", 3), 20, true);
+  first.value().era = 1;
+  channel.results = {first, PageOfEra(2, Row("b", 4), 9), PageOfEra(2, Row("c", 4), 9)};
+  Run();
+  EXPECT_EQ(listener.events, (std::vector<std::string>{"table 1 rows at 2/9"}));
+}
+
 // Guards against an outage that is not reported or after which the watch does not resume.
 TEST_F(table_watcher_test, ResumesAfterAnOutage) {
   channel.results = {Page("", 5), store::store_error::kUnknownOutcome, store_response{503, ""},
--- a/tests/platform/table_platform_test.cc
+++ b/tests/platform/table_platform_test.cc
@@ -91,7 +91,7 @@
   for (const std::string& text : {bytes, std::string(kConfig.substr(0, cut)) + bytes}) {
     (void)kPlatform.DecodeConfig(text);
     (void)kPlatform.DecodeEndpoint("i", text);
-    (void)kPlatform.DecodePage(text);
+    (void)kPlatform.DecodePage(text, 1);
     (void)kPlatform.DecodeKvCopy(text);
   }
 }
@@ -237,10 +237,13 @@
 TEST(TablePlatformTest, ReadsDeletedRows) {
   const auto page = kPlatform.DecodePage(
       R"({"rows":[{"table":"t","part":"","key":"a","ver":4,"tombstone":true},
-                  {"table":"t","part":"p","key":"b","ver":5}],"ver":9})");
+                  {"table":"t","part":"p","key":"b","ver":5}],"ver":9})",
+      2);
   ASSERT_TRUE(page);
   ASSERT_EQ(page.value().rows.size(), 1U);
   EXPECT_TRUE(page.value().rows[0].deleted);
+  EXPECT_EQ(page.value().version, routing::store_version(2, 9));
+  EXPECT_EQ(page.value().rows[0].version.era, 2U);
 }
 
 }  // namespace
--- a/tests/routing/cold_start_test.cc
+++ b/tests/routing/cold_start_test.cc
@@ -46,6 +46,16 @@
   endpoint_registry registry;
 };
 
+// Guards against an endpoint that counts as cold again because the copy from which the store has
+// returned has kept the row of its start.
+TEST_F(cold_endpoint_test, RowKeptByACopyStartsNoTime) {
+  registry.Put(kStart, {1, 7}, MakeEntry("e", "d", milliseconds(500)));
+  registry.Put(kStart + seconds(60), {2, 7}, MakeEntry("e", "d", milliseconds(500)));
+  EXPECT_FALSE(IsCold(kStart + seconds(60)));
+  registry.Put(kStart + seconds(60), {2, 8}, MakeEntry("e", "d", milliseconds(500)));
+  EXPECT_TRUE(IsCold(kStart + seconds(60)));
+}
+
 // Guards against an endpoint that counts as cold for good because each read of the same row starts
 // its time anew, and against one that becomes cold again unnoticed.
 TEST_F(cold_endpoint_test, IsColdAsItsNewestRowSays) {
--- a/tests/routing/endpoint_registry_test.cc
+++ b/tests/routing/endpoint_registry_test.cc
@@ -173,5 +173,28 @@
   EXPECT_EQ(left_ids, std::vector<std::string>{"new"});
 }
 
+// Guards against rows, removals and reports of a new era that are ignored because the store has
+// given out their versions before.
+TEST_F(endpoint_registry_test, RowsOfANewEraAreNewer) {
+  registry.Put(now, {1, 40}, Entry("a"));
+  registry.Put(now, {1, 41}, Entry("b"));
+  registry.Put(now, {1, 42}, Entry("c"));
+  registry.Put(now, {2, 20}, Entry("a", /*leaving=*/true));
+  EXPECT_FALSE(AcceptsWork("a"));
+  registry.Remove(now, {2, 21}, "b");
+  EXPECT_EQ(registry.Find("b"), nullptr);
+  registry.MarkLeaving(now, Hash64("c"), {2, 22});
+  EXPECT_FALSE(AcceptsWork("c"));
+}
+
+// Guards against an endpoint that is used again although it leaves, because the copy from which the
+// store has returned does not know that yet.
+TEST_F(endpoint_registry_test, EndpointThatLeavesStaysOutOfUseInANewEra) {
+  registry.Put(now, {1, 30}, Entry("a"));
+  registry.Put(now, {1, 40}, Entry("a", /*leaving=*/true));
+  registry.Put(now, {2, 30}, Entry("a"));
+  EXPECT_FALSE(AcceptsWork("a"));
+}
+
 }  // namespace
 }  // namespace tarragon::routing
--- a/tests/routing/evacuation_list_test.cc
+++ b/tests/routing/evacuation_list_test.cc
@@ -59,6 +59,17 @@
   EXPECT_FALSE(list.IsEvacuated("a"));
 }
 
+// Guards against an order, or its deletion, that is ignored because the store has returned from a
+// copy and given out its version before.
+TEST(EvacuationListTest, RowsOfANewEraAreNewer) {
+  evacuation_list list;
+  EXPECT_TRUE(list.Begin("a", {1, 50}));
+  EXPECT_TRUE(list.End("a", {2, 9}));
+  EXPECT_FALSE(list.Begin("a", {1, 60}));
+  EXPECT_TRUE(list.Begin("a", {2, 10}));
+  EXPECT_EQ(list.EndUnlisted({3, 4}, {}), std::vector<std::string>{"a"});
+}
+
 class evacuated_endpoints_test : public testing::Test {
  protected:
   evacuated_endpoints_test() { request.service = "s"; }
