--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -32,6 +32,7 @@
 #include "tarragon/gateway/load_gossip.h"
 #include "tarragon/gateway/load_relay.h"
 #include "tarragon/gateway/quarantine_table.h"
+#include "tarragon/gateway/readiness_log.h"
 #include "tarragon/gateway/relay_node.h"
 #include "tarragon/gateway/request_handler.h"
 #include "tarragon/gateway/status_server.h"
@@ -73,15 +74,9 @@
 /** Part of the grace period reserved for closing connections. */
 constexpr std::chrono::milliseconds kExitMargin{300};
 
-watch_options MakeEndpointWatchOptions() {
+watch_options MakeWatchOptions(std::chrono::milliseconds min_interval) {
   watch_options options;
-  options.min_interval = kEndpointFeedInterval;
-  return options;
-}
-
-watch_options MakeDaemonWatchOptions() {
-  watch_options options;
-  options.min_interval = kDaemonFeedInterval;
+  options.min_interval = min_interval;
   return options;
 }
 
@@ -142,14 +137,14 @@
                          endpoint_connection,
                          std::string(platform.EndpointTable()),
                          endpoint_replica,
-                         MakeEndpointWatchOptions(),
+                         MakeWatchOptions(kEndpointFeedInterval),
                          MakeRandomSeed()),
         daemon_watcher(loop,
                        platform,
                        daemon_connection,
                        std::string(daemon_table::kTable),
                        daemon_replica,
-                       MakeDaemonWatchOptions(),
+                       MakeWatchOptions(kDaemonFeedInterval),
                        MakeRandomSeed()),
         loads(shared),
         relay(shared,
@@ -286,7 +281,10 @@
       if (error) {
         return;
       }
-      shared.RunGuarded("housekeeping", [this] { shared.KeepHouse(); });
+      shared.RunGuarded("housekeeping", [this] {
+        shared.KeepHouse();
+        readiness.Update(IsReady());
+      });
       ScheduleHousekeeping();
     });
   }
@@ -401,6 +399,7 @@
   table_replica config_replica;
   table_replica endpoint_replica;
   table_replica daemon_replica;
+  readiness_log readiness{shared, config_replica, endpoint_replica};
   table_watcher config_watcher;
   table_watcher endpoint_watcher;
   table_watcher daemon_watcher;
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -252,6 +252,16 @@
   table_replica& replica = tables_[message.table].replica;
   source_lost_store_ = message.store_lost;
   const table_position& position = message.update.position;
+  if (!replica.is_loaded()) {
+    const duration age =
+        gateway_.store_time.Age(gateway_.time.Now(), position.version.era, position.store_time);
+    gateway_.log.LogState(
+        "first_rows",
+        {{"table", tables_[message.table].name},
+         {"source", link_address_},
+         {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
+         {"rows", message.update.rows.size()}});
+  }
   if (!replica.Apply(message.update)) {
     gateway_.log.LogState("relay_gap", {{"table", tables_[message.table].name},
                                         {"source", link_address_},
