--- a/tests/routing/source_selector_test.cc
+++ b/tests/routing/source_selector_test.cc
@@ -85,6 +85,39 @@
   }
 }
 
+// Guards against a daemon that starts and serves with rows that its source has kept behind a cut.
+TEST_P(source_selector_sizes, DaemonDoesNotStartWithOldRows) {
+  constexpr seconds kStartTime{4};
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    fake_relay_fleet fleet(GetParam(), kDomains, seed);
+    fleet.RunFor(seconds(5));
+    std::vector<fake_relay_fleet::daemon*> cut;
+    std::vector<fake_relay_fleet::daemon*> restarted;
+    std::size_t position = 0;
+    for (fake_relay_fleet::daemon& known : fleet.daemons | std::views::values) {
+      (position++ % 3 == 0 ? cut : restarted).push_back(&known);
+    }
+    for (fake_relay_fleet::daemon* known : cut) {
+      known->reaches_store = known->reaches_peers = false;
+    }
+    ++fleet.store_version;
+    fleet.RunFor(seconds(5) + milliseconds(250) * seed);
+    for (fake_relay_fleet::daemon* known : cut) {
+      known->reaches_store = known->reaches_peers = true;
+    }
+    std::ranges::for_each(restarted,
+                          [&](fake_relay_fleet::daemon* known) { fleet.StartDaemon(*known); });
+    const time_point end = fleet.now + kStartTime;
+    while (fleet.now < end) {
+      fleet.RunFor(fake_relay_fleet::kStep);
+      EXPECT_TRUE(std::ranges::none_of(
+          restarted, [](const fake_relay_fleet::daemon* known) { return known->version == 1; }))
+          << "seed " << seed;
+    }
+    EXPECT_EQ(fleet.CountBehind(2), 0U) << "seed " << seed;
+  }
+}
+
 // Guards against a fleet that reads the store for ever after an outage in which all daemons went
 // to look at the store themselves.
 TEST_P(source_selector_sizes, ReadersAreFewAgainAfterAnOutage) {
