Let a daemon start only with recent rows while newer ones can be had

Callers saw a VM that had served with version 43 of the configuration come back from a planned restart with version 3 for half a second: keys and routes of thirteen changes were missing. Cause: the first rows of a source made the daemon ready whatever their age, which it knew from the store's time; its source had been behind a cut until 0.3 s before.

A daemon without rows now takes rows as its first ones only while they are as recent as those of a source that a running daemon would keep. Otherwise it tries the next source and reads the store at once.

Ruled out: readiness that waits with the old configuration applied, since connections that callers send to a VM without other choice would be served with it.

--- a/include/tarragon/routing/source_selector.h
+++ b/include/tarragon/routing/source_selector.h
@@ -49,6 +49,8 @@
   duration age{0};
   /** Age of the newest confirmation received from the current source; empty if none. */
   std::optional<duration> source_age;
+  /** The daemon's own last call to the store has failed. */
+  bool store_lost = false;
 };
 
 /**
@@ -66,6 +68,15 @@
   /** The connection to the current source failed or was closed. */
   void OnSourceFailed(time_point now);
 
+  /**
+   * @return whether a daemon without rows may serve with rows of this age. Other daemons serve
+   *     meanwhile, so that it looks for newer rows first: at other sources, and in the store.
+   */
+  bool AcceptsFirstRows(time_point now, duration age) const;
+
+  /** The current source has no rows that are accepted as first ones. */
+  void OnSourceBehind(time_point now);
+
   void Update(time_point now, const source_view& view);
 
   /** Address of the daemon to follow; empty if there is none. */
@@ -97,6 +108,9 @@
   time_point source_since_;
   bool reads_store_ = false;
   bool loaded_ = false;
+  bool store_lost_ = false;
+  /** A daemon without rows has found a source that is behind, so that others may be as well. */
+  bool found_old_rows_ = false;
   /** Since when the rows have been stale. */
   std::optional<time_point> stale_since_;
   std::unordered_map<std::string, failed_source> failed_;
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -130,6 +130,7 @@
     if (!tables_[table].essential) {
       continue;
     }
+    view.store_lost = view.store_lost || (reading_ && tables_[table].replica.is_store_lost());
     const std::optional<duration> age = tables_[table].replica.Age();
     view.loaded = view.loaded && age.has_value();
     view.age = std::max(view.age, age.value_or(duration::zero()));
@@ -261,6 +262,11 @@
          {"source", link_address_},
          {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
          {"rows", message.update.rows.size()}});
+    if (tables_[message.table].essential && !selector_.AcceptsFirstRows(gateway_.time.Now(), age)) {
+      selector_.OnSourceBehind(gateway_.time.Now());
+      Update();
+      return;
+    }
   }
   if (!replica.Apply(message.update)) {
     gateway_.log.LogState("relay_gap", {{"table", tables_[message.table].name},
--- a/src/routing/source_selector.cc
+++ b/src/routing/source_selector.cc
@@ -55,6 +55,15 @@
   GiveUpSource(now, false);
 }
 
+bool source_selector::AcceptsFirstRows(time_point now, duration age) const {
+  return age <= StaleAge() || store_lost_ || now >= started_at_ + options_.start_patience;
+}
+
+void source_selector::OnSourceBehind(time_point now) {
+  found_old_rows_ = true;
+  GiveUpSource(now, true);
+}
+
 bool source_selector::MayRetry(time_point now, const failed_source& failed) const {
   // The pause was chosen when another source may still have had newer rows.
   const bool is_stale_for_long =
@@ -75,6 +84,7 @@
 
 void source_selector::Update(time_point now, const source_view& view) {
   loaded_ = view.loaded;
+  store_lost_ = view.store_lost;
   if (plan_.reads_store) {
     source_.reset();
     reads_store_ = true;
@@ -101,7 +111,7 @@
   const time_point since = stale_since_.value_or(now);
   stale_since_ = since;
   const bool waited = view.loaded ? !source_ || now >= since + options_.takeover_delay
-                                  : now >= started_at_ + options_.start_patience;
+                                  : found_old_rows_ || now >= started_at_ + options_.start_patience;
   reads_store_ = reads_store_ || waited;
 }
 
--- a/tests/routing/fake_relay_fleet.h
+++ b/tests/routing/fake_relay_fleet.h
@@ -46,6 +46,8 @@
     time_point confirmed_at;
     time_point next_poll;
     retry_backoff backoff{kInitialStoreBackoff, std::chrono::milliseconds(0)};
+    /** The last call to the store has failed. */
+    bool store_lost = false;
     std::optional<std::string> linked_to;
     std::optional<time_point> link_confirmed_at;
   };
@@ -136,10 +138,12 @@
       if (store_serves && target.reaches_store) {
         target.next_poll = now + kPollInterval;
         target.backoff.Reset();
+        target.store_lost = false;
         Confirm(target, store_version, now);
       } else {
         target.backoff.SetMax(PaceOf(target.selector->plan(), true).max_backoff);
         target.next_poll = now + kStoreResponseTimeout + target.backoff.Next(random_);
+        target.store_lost = true;
       }
     }
   }
@@ -161,7 +165,11 @@
     const bool late = std::bernoulli_distribution(late_share)(random_);
     const bool connected = source.state == condition::kRunning && target.reaches_peers &&
                            source.reaches_peers && source.version > 0;
-    if (connected && !late) {
+    const bool is_behind = target.version == 0 && connected &&
+                           !target.selector->AcceptsFirstRows(now, now - source.confirmed_at);
+    if (is_behind) {
+      target.selector->OnSourceBehind(now);
+    } else if (connected && !late) {
       Confirm(target, source.version, source.confirmed_at);
       target.link_confirmed_at = source.confirmed_at;
     }
@@ -172,6 +180,7 @@
     ReceiveFromSource(target);
     source_view view{
         .loaded = target.version > 0, .age = now - target.confirmed_at, .source_age = {}};
+    view.store_lost = target.store_lost;
     if (target.linked_to && target.link_confirmed_at) {
       view.source_age = now - *target.link_confirmed_at;
     }
--- a/tests/routing/source_selector_test.cc
+++ b/tests/routing/source_selector_test.cc
@@ -118,6 +118,19 @@
   }
 }
 
+// Guards against a daemon that refuses all requests after its start because no rows are recent.
+TEST_P(source_selector_sizes, DaemonStartsWithOldRowsIfTheStoreIsAway) {
+  fake_relay_fleet fleet(GetParam(), kDomains, 1);
+  fleet.RunFor(seconds(5));
+  fleet.store_serves = false;
+  fleet.RunFor(seconds(10));
+  const bool is_relayed = GetParam() > kMaxDirectReaders;
+  fake_relay_fleet::daemon& restarted = fleet.daemons.begin()->second;
+  fleet.StartDaemon(restarted);
+  fleet.RunFor(seconds(4));
+  EXPECT_EQ(fleet.CountBehind(1), is_relayed && !restarted.selector->plan().reads_store ? 0U : 1U);
+}
+
 // Guards against a fleet that reads the store for ever after an outage in which all daemons went
 // to look at the store themselves.
 TEST_P(source_selector_sizes, ReadersAreFewAgainAfterAnOutage) {
