Replace a silent connection to the store before a small fleet is held to changes

A daemon of a small fleet noticed a connection that had gone silent after 3.0 s and called again 0.1 s later; it is held to the time of a change 3 s after the connection was lost. Cause: a feed call waited 3 s at the store, and its timeout was that and 0.8 s. It now waits 2 s, and the connection is replaced after 2.9 s. SilentConnectionIsReplacedInTime failed before (3.95 s by the timeout). Ruled out: a shorter keepalive, which would end connections over links that lose packets. Cost: one more call of the configuration's feed in 6 s and daemon while nothing changes.

--- a/include/tarragon/gateway/table_watcher.h
+++ b/include/tarragon/gateway/table_watcher.h
@@ -25,7 +25,7 @@
    * Longest wait of one feed call at the store. A call made before a store outage must time out
    * soon after the outage ends, because changes must take effect within 2 s of being acknowledged.
    */
-  std::chrono::milliseconds wait{3000};
+  std::chrono::milliseconds wait{2000};
   /** Timeout of a read, and of a feed call in addition to `wait`. */
   std::chrono::milliseconds response_timeout = routing::kStoreResponseTimeout;
   /** Minimum time between two feed calls; changes within it are fetched together. */
--- a/include/tarragon/routing/store_pace.h
+++ b/include/tarragon/routing/store_pace.h
@@ -10,7 +10,7 @@
 /** How often a daemon calls the store for one table. */
 struct store_pace {
   /** Longest wait of one feed call at the store. */
-  std::chrono::milliseconds wait{3000};
+  std::chrono::milliseconds wait{2000};
   /** Longest wait after a failed call. */
   std::chrono::milliseconds max_backoff{800};
 };
--- a/src/routing/store_pace.cc
+++ b/src/routing/store_pace.cc
@@ -5,7 +5,7 @@
 namespace {
 
 /** Longest wait of a feed call whose result no other daemon waits for. */
-constexpr std::chrono::milliseconds kDirectWait{3000};
+constexpr std::chrono::milliseconds kDirectWait{2000};
 /** The list of daemons changes only when a daemon starts on a new VM. */
 constexpr std::chrono::milliseconds kMembersWait{20000};
 /** Bounds the time between two confirmations that are relayed. */
