--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -23,6 +23,8 @@
   /** Milliseconds for which the sender waits for the response. */
   std::string deadline;
   std::string last_event_id;
+  /** Id of the attempt that brought the first event of the stream that the caller takes up. */
+  std::string resumed_request_id;
   /** Present only in responses produced by an endpoint itself. */
   std::string signature;
   /** Client account name, sent to endpoints. */
--- a/include/tarragon/gateway/request_admission.h
+++ b/include/tarragon/gateway/request_admission.h
@@ -43,6 +43,8 @@
   time_point deadline;
   /** Id of the last stream event that the caller has received. */
   std::optional<std::uint64_t> last_event;
+  /** Id of the caller's attempt that brought the first event; empty if the caller names none. */
+  std::string resumed_request_id;
 };
 
 /** Response to a request that is rejected without being sent to an endpoint. */
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -38,6 +38,8 @@
   std::chrono::milliseconds warm_up{0};
   /** Start of this incarnation in Unix milliseconds; 0 if unknown. */
   std::int64_t started_unix_ms = 0;
+  /** Version of the endpoint's software, not of the weights that it serves; empty if not stated. */
+  std::string software_version;
 
   bool operator==(const endpoint_entry&) const = default;
 };
--- a/src/gateway/endpoint_updater.cc
+++ b/src/gateway/endpoint_updater.cc
@@ -27,6 +27,7 @@
     gateway_.log.LogState("endpoint_listed", {{"endpoint", row.key},
                                               {"service", listed.service},
                                               {"address", listed.address},
+                                              {"software", listed.software_version},
                                               {"leaving", listed.leaving},
                                               {"row_version", row.version}});
   }
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -91,6 +91,7 @@
   admitted.deadline = request.received + allowed;
   if (const auto last = ParseInteger(headers.Find(names.last_event_id)); last && *last >= 0) {
     admitted.last_event = static_cast<std::uint64_t>(*last);
+    admitted.resumed_request_id = headers.Find(names.resumed_request_id).value_or("");
   }
   constexpr double kHashRange = 18446744073709551616.0;
   const double point = static_cast<double>(Hash64(request_id)) / kHashRange;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -166,6 +166,8 @@
                            {"route", admitted_.route->name},
                            {"config", admitted_.config->version()},
                            {"endpoint", target_->entry.id},
+                           {"software", target_->entry.software_version},
+                           {"resumes", admitted_.resumed_request_id},
                            {"room", pick.has_capacity},
                            {"expected_ms", static_cast<int>(pick.expected.count())},
                            {"own", target_->own_load.requests},
@@ -417,6 +419,7 @@
       "stream_resumed",
       {{"request", id_},
        {"endpoint", target_->entry.id},
+       {"software", target_->entry.software_version},
        {"pause_ms", milliseconds(pause)},
        {"since_send_ms", milliseconds(gateway_.time.Now() - sent_at_)},
        {"unread_tokens", target_->own_load.unread_tokens + target_->peer_load.unread_tokens},
@@ -618,6 +621,7 @@
   SendTo(engine, location);
   gateway_.log.LogRequest("request_continued", {{"request", id_},
                                                 {"endpoint", location->endpoint_id},
+                                                {"software", engine->entry.software_version},
                                                 {"copy", location->reference},
                                                 {"after_event", stream_.last_event().value_or(0)},
                                                 {"age_ms", Age().count()}});
--- a/tests/platform/table_platform_test.cc
+++ b/tests/platform/table_platform_test.cc
@@ -27,7 +27,7 @@
 
 constexpr std::string_view kEntry =
     R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":24,"state":"draining",
-        "cold-remaining-ms":5,"sequence":4,"born":1790000000000})";
+        "version":"v1","cold-remaining-ms":5,"sequence":4,"born":1790000000000})";
 
 const table_platform kPlatform;
 
@@ -64,6 +64,7 @@
   ASSERT_TRUE(entry);
   EXPECT_TRUE(entry.value().leaving);
   EXPECT_EQ(entry.value().started_unix_ms, 1790000000000);
+  EXPECT_EQ(entry.value().software_version, "v1");
 }
 
 // Guards against decoding a row as an endpoint although another writer damaged the row or wrote it
