--- a/tests/emulator/caller.cc
+++ b/tests/emulator/caller.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <string_view>
 #include <utility>
 
 namespace tarragon::emulator {
@@ -48,6 +49,9 @@
     request += fmt::format("Token-Usage: {},{}\r\n", is_report ? kReportPrompt : kTagPrompt,
                            max_output_ > 0 ? max_output_ : usual_output);
   }
+  if (!resumed_id_.empty()) {
+    request += fmt::format("Last-Event-Id: {}\r\nResumes: {}\r\n", resumed_after_, resumed_id_);
+  }
   if (extra_bytes_ > 0) {
     request += fmt::format("Extra-Bytes: {}\r\n", extra_bytes_);
   }
@@ -99,10 +103,41 @@
   is_done_ = true;
 }
 
-std::string caller::ExpectedEvents(std::uint64_t count) const {
+void caller::TakeUp(const caller& broken) {
+  TakeUp(broken.resumed_id_.empty() ? broken.id_ : broken.resumed_id_, broken.last_event(),
+         broken.software_version());
+}
+
+void caller::TakeUp(std::string id, std::uint64_t last_event, std::string version) {
+  resumed_id_ = std::move(id);
+  resumed_after_ = last_event;
+  resumed_version_ = std::move(version);
+}
+
+std::uint64_t caller::last_event() const {
+  constexpr std::string_view kIdField = "id: ";
+  const std::size_t end = body_.rfind("\n\n");
+  const std::size_t last = end == std::string::npos ? end : body_.rfind(kIdField, end);
+  return last == std::string::npos ? resumed_after_
+                                   : std::stoull(body_.substr(last + kIdField.size()));
+}
+
+std::string caller::software_version() const {
+  if (!resumed_version_.empty()) {
+    return resumed_version_;
+  }
+  const std::size_t end = body_.find("\n\n");
+  if (end == std::string::npos) {
+    return {};
+  }
+  const std::size_t start = body_.rfind(' ', end);
+  return body_.substr(start + 1, end - start - 1);
+}
+
+std::string caller::ExpectedEvents() const {
   std::string text;
-  for (std::uint64_t event = 1; event <= count; ++event) {
-    text += fmt::format("id: {}\ndata: {} {}\n\n", event, id_, event);
+  for (std::uint64_t event = resumed_after_ + 1; event <= events_; ++event) {
+    text += fmt::format("id: {}\ndata: {} {} {}\n\n", event, id_, event, software_version());
   }
   return text;
 }
@@ -115,7 +150,7 @@
     return "status 200 without the signature of an endpoint";
   }
   const std::string expected =
-      is_stream() ? ExpectedEvents(events_)
+      is_stream() ? ExpectedEvents()
                   : fmt::format("{} {}{}", id_, Path(), std::string(extra_bytes_, 'x'));
   if (is_complete_ && body_ != expected) {
     return fmt::format("the complete response differs from the expected one: {} bytes, expected {}",
--- a/tests/emulator/caller.h
+++ b/tests/emulator/caller.h
@@ -37,6 +37,10 @@
   void OmitSize() { states_size_ = false; }
   /** Sets the longest output that a stream's request states; 0 keeps the usual one of its kind. */
   void SetMaxOutput(std::uint64_t tokens) { max_output_ = tokens; }
+  /** Takes up the stream of another attempt after its last complete event. */
+  void TakeUp(const caller& broken);
+  /** Takes up a stream that this id began, after event `last_event`. */
+  void TakeUp(std::string id, std::uint64_t last_event, std::string version);
   /** @return the serialized request. */
   std::string RequestText() const;
   /** Sends the request on a connection of its own. @param address of a gateway. */
@@ -46,6 +50,12 @@
 
   const std::string& id() const { return id_; }
   call_kind kind() const { return kind_; }
+  std::uint64_t events() const { return events_; }
+  /** @return id of the last complete event that has arrived, in this attempt or before. */
+  std::uint64_t last_event() const;
+  /** @return software version of the endpoint that began the stream; empty before its first event.
+   */
+  std::string software_version() const;
   /** The response is complete, the connection has ended, or the caller has disconnected. */
   bool is_done() const { return is_done_; }
   bool disconnected() const { return disconnected_; }
@@ -74,7 +84,7 @@
 
   std::string Path() const;
   bool is_stream() const { return kind_ == call_kind::kReport || kind_ == call_kind::kTag; }
-  std::string ExpectedEvents(std::uint64_t count) const;
+  std::string ExpectedEvents() const;
 
   asio::io_context& loop_;
   std::string id_;
@@ -82,6 +92,11 @@
   std::uint64_t events_;
   std::string prompt_parts_;
   std::uint64_t max_output_ = 0;
+  /** Id of the attempt whose stream is taken up; empty if there is none. */
+  std::string resumed_id_;
+  /** Last event of that stream before this attempt, and the version that began it. */
+  std::uint64_t resumed_after_ = 0;
+  std::string resumed_version_;
   std::size_t extra_bytes_ = 0;
   bool states_size_ = true;
   std::shared_ptr<gateway::http_exchange> exchange_;
--- a/tests/emulator/endpoint_emulator.cc
+++ b/tests/emulator/endpoint_emulator.cc
@@ -172,8 +172,8 @@
       return false;
     }
     ++run.events_made;
-    run.response->SendChunk(
-        fmt::format("id: {}\ndata: {} {}\n\n", run.events_made, run.request, run.events_made));
+    run.response->SendChunk(fmt::format("id: {}\ndata: {} {} {}\n\n", run.events_made, run.request,
+                                        run.events_made, options_.software_version));
     if (const auto backup = engines_.find(run.backup_address); backup != engines_.end()) {
       backup->second->kv_copies_[run.request] = run.events_made;
     }
--- a/tests/emulator/endpoint_emulator.h
+++ b/tests/emulator/endpoint_emulator.h
@@ -31,6 +31,8 @@
 struct endpoint_options {
   std::string id;
   std::string failure_domain;
+  /** Part of each event, so that a stream from two versions shows. */
+  std::string software_version;
   /** Time between two events of a stream. */
   std::chrono::milliseconds event_interval{5};
   /** Time from a plain call to its response. */
@@ -60,6 +62,7 @@
   ~endpoint_emulator();
 
   const std::string& id() const { return options_.id; }
+  const std::string& software_version() const { return options_.software_version; }
   const std::string& failure_domain() const { return options_.failure_domain; }
   std::string address() const { return service_.address(); }
 
--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -96,6 +96,7 @@
   endpoint_options options;
   options.id = fmt::format("{}-{}", service, ++last_endpoint_);
   options.failure_domain = fmt::format("domain-{}", last_endpoint_ % options_.endpoint_domains);
+  options.software_version = software_version_;
   options.seed = random_();
   options.event_interval = options_.event_interval;
   if (service == kPlain) {
@@ -132,7 +133,7 @@
   const nlohmann::json entry = {{"service", service},
                                 {"address", endpoint.address()},
                                 {"zone", endpoint.failure_domain()},
-                                {"version", "v1"},
+                                {"version", endpoint.software_version()},
                                 {"slots", 24},
                                 {"state", leaving ? "draining" : "ready"},
                                 {"cold-remaining-ms", 0},
@@ -187,6 +188,33 @@
   store_.Remove("servers", stopped_.back()->id());
 }
 
+void fleet_emulator::StopEngines(const std::string& software_version) {
+  for (std::size_t i = engines_.size(); i-- > 0;) {
+    if (engines_[i]->software_version() == software_version) {
+      store_.Remove("servers", engines_[i]->id());
+      StopEngine(i);
+    }
+  }
+}
+
+void fleet_emulator::StopEngine(std::size_t index) {
+  stopped_.push_back(std::move(engines_.at(index)));
+  engines_.erase(engines_.begin() + static_cast<std::ptrdiff_t>(index));
+  stopped_.back()->Crash();
+}
+
+void fleet_emulator::RestartGateways() {
+  std::ranges::for_each(gateways_, [](const auto& gateway) { gateway->Kill(); });
+  std::ranges::for_each(gateways_, [](const auto& gateway) { gateway->Start(); });
+}
+
+std::shared_ptr<caller> fleet_emulator::TakeUp(const caller& broken, std::size_t gateway_index) {
+  std::shared_ptr<caller> added = MakeRequest(broken.kind(), broken.events());
+  added->TakeUp(broken);
+  added->Send(gateway(gateway_index).callers_address());
+  return added;
+}
+
 std::shared_ptr<caller> fleet_emulator::SendRequest(call_kind kind,
                                                     std::uint64_t events,
                                                     std::size_t gateway_index,
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "emulator/caller.h"
@@ -71,14 +72,24 @@
                                       std::uint64_t events,
                                       std::size_t gateway_index,
                                       const std::string& prompt_parts = {});
+  /** Takes a broken stream up at a gateway, as its caller does after the connection has ended. */
+  std::shared_ptr<caller> TakeUp(const caller& broken, std::size_t gateway_index);
   /** @return a request that is not sent yet, for `kept_connection`. */
   std::shared_ptr<caller> MakeRequest(call_kind kind, std::uint64_t events);
   /** @return times at which engines crashed because of the crashing part. */
   const std::vector<time_point>& crashes() const { return crashes_; }
   time_point Now() const { return time_.Now(); }
 
+  /** Sets the software version of the endpoints that are added from now on. */
+  void SetSoftwareVersion(std::string version) { software_version_ = std::move(version); }
   /** @return id of the added engine. */
   std::string AddEngine();
+  /** Stops all engines of a software version, and removes them from the list. */
+  void StopEngines(const std::string& software_version);
+  /** Stops an engine without notice; its entry stays in the list. */
+  void StopEngine(std::size_t index);
+  /** Kills all gateways and starts them again. */
+  void RestartGateways();
   /** Adds an engine; a random one announces that it leaves, and stops after `notice`. */
   void ReplaceEngine(std::chrono::milliseconds notice);
   /** Adds an engine; another one stops without notice. */
@@ -118,6 +129,7 @@
   std::vector<std::shared_ptr<caller>> callers_;
   std::vector<std::unique_ptr<gateway_child>> gateways_;
   std::string folder_;
+  std::string software_version_ = "v1";
   std::uint64_t config_version_ = 0;
   std::uint64_t last_endpoint_ = 0;
   std::vector<time_point> crashes_;
