Let a daemon go on with a stream only at the software version that began it

Cause: a daemon did not read the version in an endpoint's row, so that a repeat, a backup, a standby copy and the endpoint that takes a stream over could be of any version.

The version that sent the first event now binds all further sends of the stream, and a copy is made and used only at the version of its source. An endpoint whose version changes under its id is another incarnation. If no endpoint of the version stays, the stream is broken off, or a take-up refused, at once. Before its first event a stream may still be sent to any version.

Ruled out: binding a request from its first send, which would refuse requests that an endpoint of the old version turns away as it leaves.

--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -162,6 +162,8 @@
   bool response_started_ = false;
   crash_tracker crashes_;
   stream_progress stream_;
+  /** Version of the endpoint software that began the stream; empty before its first event. */
+  std::optional<std::string> software_version_;
   std::chrono::milliseconds first_event_delay_{0};
   /** Null until the request has been admitted. */
   std::unique_ptr<generation_copies> copies_;
--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -118,6 +118,8 @@
   bool has_begun = false;
   /** Ids of endpoints that must not be used, such as those that have failed the request. */
   std::vector<std::string> excluded;
+  /** Version that began the stream, and the only one at which it may go on; empty for any. */
+  std::optional<std::string> software_version;
 };
 
 /** Result of `endpoint_picker::Pick` and `PickCopyTarget`. */
@@ -140,8 +142,10 @@
    * or if another one may be used earlier, after a cooldown.
    */
   std::optional<duration> time_to_end_of_pause;
-  /** The service has endpoints, and all of them leave. */
+  /** The service has endpoints, and all of those that the request may use leave. */
   bool all_leave = false;
+  /** The software version that began the stream has no endpoint that stays. */
+  bool is_version_gone = false;
 };
 
 /** Purpose of a copy of a generation's KV cache. */
--- a/src/gateway/generation_copies.cc
+++ b/src/gateway/generation_copies.cc
@@ -50,6 +50,8 @@
   source_ = source;
   requirements_ = std::move(requirements);
   requirements_.excluded.push_back(source->entry.id);
+  // What one version of the software has written cannot be read by another.
+  requirements_.software_version = source->entry.software_version;
   running_ = false;
   planner_.BeginRun();
   requested_backup_.reset();
@@ -225,7 +227,8 @@
   for (std::optional<copy_location>* candidate : {&standby_location_, &backup_}) {
     const routing::endpoint_ptr engine =
         *candidate ? gateway_.endpoints.Find((*candidate)->endpoint_id) : nullptr;
-    if (engine && engine->accepts_work()) {
+    if (engine && engine->accepts_work() &&
+        engine->entry.software_version == source_->entry.software_version) {
       return candidate;
     }
     candidate->reset();
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -38,6 +38,9 @@
 /** Cooldown after a failed connect or silence; a crashed endpoint is down for seconds. */
 constexpr std::chrono::milliseconds kFailureCooldown{1000};
 
+/** The stream cannot go on, whenever its caller comes back: only a new one can be served. */
+constexpr std::chrono::milliseconds kLostStreamRetryAfter{30000};
+
 /** Silence after which a stream's engine counts as failed; healthy events are tens of ms apart. */
 constexpr std::chrono::milliseconds kStreamSilence{1200};
 
@@ -125,6 +128,7 @@
   requirements.waited = contention_.Age(gateway_.time.Now());
   requirements.has_begun = response_started_;
   requirements.excluded = excluded_endpoints_;
+  requirements.software_version = software_version_;
   return requirements;
 }
 
@@ -184,6 +188,8 @@
   TARRAGON_INVARIANT(!exchange_, "a send was started while another was in flight");
   TARRAGON_INVARIANT(copy || !response_started_ || admitted_.route->resumable,
                      "a started stream that is not resumable may only be resumed from a copy");
+  TARRAGON_INVARIANT(!software_version_ || *software_version_ == target->entry.software_version,
+                     "a stream goes on at another software version than the one that began it");
   SetWaiting(false);
   contention_.OnSent();
   target_ = target;
@@ -231,6 +237,10 @@
 }
 
 void request_handler::WaitForEndpoint(const routing::pick_result& pick) {
+  if (pick.is_version_gone) {
+    FailRequest("stream_version_gone", kBadGateway, kLostStreamRetryAfter);
+    return;
+  }
   const std::string_view pause_reason =
       pick.time_to_end_of_pause ? "endpoints_pause" : "no_endpoint";
   ExecuteWait(DecideWithoutEndpoint(pick, DescribeWait(), RandomPoint()),
@@ -372,6 +382,7 @@
     reservation_.OnPrefillDone();
     sends_without_progress_ = failed_connects_ = 0;
   }
+  software_version_ = target_->entry.software_version;
   BeginResponse();
   if (!finished_) {
     writer_->SendStreamBytes(batch->bytes);
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <ranges>
 #include <tuple>
 
 #include "tarragon/base/hash.h"
@@ -18,8 +19,12 @@
   return total;
 }
 
+bool HasRequiredVersion(const endpoint& candidate, const pick_request& request) {
+  return !request.software_version || candidate.entry.software_version == *request.software_version;
+}
+
 bool MayBeUsedLater(const endpoint& candidate, const pick_request& request) {
-  return candidate.accepts_work() &&
+  return candidate.accepts_work() && HasRequiredVersion(candidate, request) &&
          std::ranges::find(request.excluded, candidate.entry.id) == request.excluded.end();
 }
 
@@ -33,9 +38,16 @@
                             const std::vector<endpoint_ptr>& candidates,
                             const pick_request& request,
                             pick_result& result) {
-  result.all_leave =
-      !candidates.empty() && std::ranges::none_of(candidates, [](const endpoint_ptr& known) {
-        return known->accepts_work();
+  const auto has_version = [&](const endpoint_ptr& known) {
+    return HasRequiredVersion(*known, request);
+  };
+  auto allowed = candidates | std::views::filter(has_version);
+  result.all_leave = !candidates.empty() &&
+                     std::ranges::none_of(
+                         allowed, [](const endpoint_ptr& known) { return known->accepts_work(); });
+  result.is_version_gone =
+      request.software_version && std::ranges::none_of(allowed, [](const endpoint_ptr& known) {
+        return known->listed && !known->leaving;
       });
   std::optional<duration> shortest;
   for (const endpoint_ptr& candidate : candidates) {
@@ -197,7 +209,8 @@
         HasCapacity(*candidate, request, request.memory_share.value_or(options_.max_memory_share));
     const std::chrono::duration<double, std::milli> expected{
         ScoreMs(now, *candidate, request, PredictPauseMiss(predictor, *candidate, request))};
-    const pick_result next{candidate, is_within_limit, has_capacity, expected, {}, {}, false};
+    const pick_result next{candidate, is_within_limit, has_capacity, expected, {},
+                           {},        false,           false};
     if (!best.chosen || precedes(next, best)) {
       best = next;
     }
@@ -273,7 +286,7 @@
     point -= candidate.weight;
     return false;
   });
-  return {chosen->engine, true, true, {}, {}, {}, false};
+  return {chosen->engine, true, true, {}, {}, {}, false, false};
 }
 
 }  // namespace tarragon::routing
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -57,6 +57,7 @@
   }
   const bool same_incarnation = known && known->entry.address == entry.address &&
                                 known->entry.started_unix_ms == entry.started_unix_ms &&
+                                known->entry.software_version == entry.software_version &&
                                 known->entry.service == entry.service;
   if (known && !same_incarnation) {
     BeginLeaving(now, known, leaving_source::kRow);
--- a/tests/routing/endpoint_picker_test.cc
+++ b/tests/routing/endpoint_picker_test.cc
@@ -64,6 +64,31 @@
   pick_request request;
 };
 
+// Guards against a stream that goes on, or is copied, at another version than the one that began it,
+// and against waiting for a version that has left.
+TEST_F(endpoint_picker_test, StreamStaysAtItsSoftwareVersion) {
+  RequestLongStream();
+  for (const char* id : {"a", "b"}) {
+    endpoint_entry entry = Endpoint(id).entry;
+    entry.software_version = "new";
+    registry.Put(now, 2, entry);
+  }
+  request.software_version = "";
+  for (std::uint64_t entropy = 1; entropy <= 20; ++entropy) {
+    request.entropy = entropy;
+    EXPECT_EQ(PickId(), "c");
+    EXPECT_EQ(PickCopyId(copy_purpose::kBackup, entropy), "c");
+    EXPECT_EQ(PickCopyId(copy_purpose::kStandby, entropy), "c");
+  }
+  Endpoint("c").unreachable = true;
+  EXPECT_FALSE(picker.Pick(now, registry, request).is_version_gone);
+  Endpoint("c").leaving = true;
+  EXPECT_TRUE(picker.Pick(now, registry, request).is_version_gone);
+  EXPECT_TRUE(picker.Pick(now, registry, request).all_leave);
+  request.software_version.reset();
+  EXPECT_NE(PickId(), "");
+}
+
 // Guards against short requests that queue behind requests of other daemons at an endpoint.
 TEST_F(endpoint_picker_test, CountsRequestsOfOtherDaemons) {
   Endpoint("a").peer_load.requests = 3;
