Take streams up only at the software version that began them, also after a kill of all daemons

Cause: the version that began a stream was known to the daemon that began it alone, and the header that names the attempt was not read.

A version of a service with resumable streams is announced in the store before such a stream begins at it. While a service has several versions, each resumable stream's version is recorded there when it is sent, beside its prefill; the records are only added, so that lost and late writes can make an origin unknown but not wrong. A daemon that takes a stream up asks its own memory, then the store, and refuses at once what nobody knows or what no endpoint of the version can go on with.

Ruled out: a record per stream at all times (a write for each stream in steady use), and refusing take-ups while versions are mixed.

--- a/include/tarragon/gateway/daemon_table.h
+++ b/include/tarragon/gateway/daemon_table.h
@@ -21,11 +21,12 @@
 namespace tarragon::gateway {
 
 /**
- * Peer discovery of the gateway daemons: each daemon writes a row with its peer address to the
- * store, and again if the store has lost the row by returning from a copy. Rows are keyed by
- * address, so that a restarted process adds no second row. Rows of removed
- * VMs stay; they reduce each daemon's share of the retry budget, and those who would follow them
- * in the relay tree try them now and then.
+ * What the gateway daemons tell each other in the store: the software versions of endpoints at
+ * which streams may have begun (`version_announcements`), and peer discovery: each daemon writes a
+ * row with its peer address to the store, and again if the store has lost the row by returning from
+ * a copy. Rows are keyed by address, so that a restarted process adds no second row. Rows of
+ * removed VMs stay; they reduce each daemon's share of the retry budget, and those who would follow
+ * them in the relay tree try them now and then.
  */
 class daemon_table final : public table_listener {
  public:
@@ -57,6 +58,10 @@
 
   void OnRegistered(const store_response& response);
   void OnMembersChanged(const table_position& position);
+  /** Applies a row that announces a software version, or the removal of one. */
+  void ApplyAnnouncement(const table_row& row);
+  /** Withdraws the announcements that a complete table lacks. */
+  void WithdrawUnlisted(const std::vector<table_row>& rows);
   /** Writes the row again if the table should have it. */
   void RegisterIfLost(const table_position& position);
 
@@ -68,6 +73,8 @@
   asio::steady_timer timer_;
   /** Version of the acknowledged write of the row; empty while there is none. */
   std::optional<routing::store_version> registered_at_;
+  /** Announced software versions, by key. */
+  std::map<std::string, routing::software_version> announcements_;
   /** Failure domain of each daemon, by address; empty if its row does not tell. */
   std::map<std::string, std::string> domains_;
 };
--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -27,11 +28,14 @@
 #include "tarragon/routing/generation_pace.h"
 #include "tarragon/routing/send_budget.h"
 #include "tarragon/routing/service_config.h"
+#include "tarragon/routing/software_versions.h"
 #include "tarragon/routing/store_clock.h"
+#include "tarragon/routing/stream_origins.h"
 #include "tarragon/routing/used_endpoints.h"
 
 namespace tarragon::gateway {
 
+class origin_finder;
 class request_handler;
 
 /** A connection that can be told to give up what it holds. */
@@ -81,6 +85,17 @@
   /** Adds what another daemon has learned about endpoints. */
   void MergeEvidence(std::span<const routing::endpoint_statement> statements);
 
+  /**
+   * Applies what is known of software versions to the endpoints, and lets the store have what other
+   * daemons need of it. Called after each change of the endpoints, versions or streams.
+   */
+  void UpdateOrigins();
+  /** @return whether streams of the service may have begun at several software versions. */
+  bool IsMixed(const std::string& service) const { return mixed_services_.contains(service); }
+  bool HasMixedServices() const { return !mixed_services_.empty(); }
+  /** Records that a stream which its caller may take up is sent to an endpoint. */
+  void RecordOrigin(const routing::stream_origin& origin, time_point keep_until);
+
   /** Drops what has expired and sets the gauges; called several times a second. */
   void KeepHouse();
 
@@ -116,6 +131,12 @@
   routing::endpoint_evidence evidence;
   routing::endpoint_picker picker;
   routing::crash_quarantine quarantine;
+  /** Software versions at which streams of each service may have begun. */
+  routing::software_versions versions;
+  /** Streams of this daemon that their callers may take up. */
+  routing::stream_origins origins;
+  /** Null without a store: then only this daemon's own streams can be taken up. */
+  origin_finder* origin_lookup = nullptr;
   std::mt19937_64 random;
   /** Bytes of responses that are being received and are not relayed yet. */
   std::size_t buffered_response_bytes = 0;
@@ -141,6 +162,8 @@
   std::function<void()> on_evidence;
   /** Called after the store has returned from a copy: what this daemon wrote since may be lost. */
   std::function<void()> on_store_restored;
+  /** Called when the store may lack a record of a stream or of a software version. */
+  std::function<void()> on_origins;
   /** Called after a request has finished or a connection has sent all its response bytes. */
   std::function<void()> on_work_done;
 
@@ -156,6 +179,8 @@
   /** Logs changes of the memory budget, sets its gauges and returns free memory to the system. */
   void KeepMemory();
 
+  /** Services whose streams may have begun at several software versions. */
+  std::set<std::string> mixed_services_;
   std::unordered_map<memory_budget::connection_id, memory_holder*> memory_holders_;
   bool relief_scheduled_ = false;
   memory_state logged_memory_state_ = memory_state::kCalm;
--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -93,6 +93,30 @@
   bool deleted = false;
 };
 
+/** A row to write. */
+struct new_row {
+  std::string key;
+  std::string value;
+};
+
+/** Rows that are written and removed in one transaction. */
+struct table_change {
+  std::string_view table;
+  std::string_view partition;
+  std::vector<new_row> rows;
+  std::vector<std::string> removed;
+  /** If set, the first removed row must have this version, or nothing is changed. */
+  std::optional<routing::store_version> removed_version;
+};
+
+/** Keys of a partition of a table, from `from` up to but not including `to`. */
+struct row_range {
+  std::string_view table;
+  std::string_view partition;
+  std::string_view from;
+  std::string_view to;
+};
+
 struct table_page {
   std::vector<table_row> rows;
   /** The store's newest version at the time of the response. */
@@ -171,8 +195,19 @@
   virtual service_call PutRowCall(std::string_view table,
                                   std::string_view key,
                                   std::string_view value) const = 0;
-  /** @param era of the store, as the headers of the response name it. */
-  virtual decode_result<table_page> DecodePage(std::string_view body, std::uint64_t era) const = 0;
+  virtual service_call ChangeRowsCall(const table_change& change) const = 0;
+  virtual service_call ReadRangeCall(const row_range& range) const = 0;
+  /**
+   * @param era of the store, as the headers of the response name it.
+   * @param partition whose rows are wanted; those of others are left out.
+   */
+  virtual decode_result<table_page> DecodePage(std::string_view body,
+                                               std::uint64_t era,
+                                               std::string_view partition) const = 0;
+  /** Same for the partition of the rows of the operator, the endpoints and the daemons. */
+  decode_result<table_page> DecodePage(std::string_view body, std::uint64_t era) const {
+    return DecodePage(body, era, {});
+  }
 
   virtual decode_result<routing::service_config_ptr> DecodeConfig(std::string_view value) const = 0;
   virtual decode_result<routing::endpoint_entry> DecodeEndpoint(std::string_view id,
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -58,6 +58,15 @@
   void OnResponseEnd() override;
   void OnExchangeError(exchange_error error) override;
 
+  /** Finds out at which software version the stream began that the caller takes up. */
+  void FindOrigin();
+  void OnOriginFound(const std::optional<routing::take_up_decision>& found);
+  /** @return whether other daemons may have to find out at which version this stream began. */
+  bool IsResumable() const;
+  /** @return what is recorded if the stream is sent to the endpoint. */
+  routing::stream_origin OriginAt(const routing::endpoint& target) const;
+  /** @return whether the record of the stream's origin allows to send it to the endpoint now. */
+  bool MayBeginAt(const routing::endpoint& target);
   void Dispatch();
   /** Waits for an endpoint that accepts work, or refuses the request. */
   void WaitForEndpoint(const routing::pick_result& pick);
--- a/include/tarragon/routing/endpoint_picker.h
+++ b/include/tarragon/routing/endpoint_picker.h
@@ -120,6 +120,8 @@
   std::vector<std::string> excluded;
   /** Version that began the stream, and the only one at which it may go on; empty for any. */
   std::optional<std::string> software_version;
+  /** Callers may take the stream up at daemons that must then know which version began it. */
+  bool is_resumable = false;
 };
 
 /** Result of `endpoint_picker::Pick` and `PickCopyTarget`. */
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -88,6 +88,8 @@
   time_point listed_at;
   /** Only other daemons have said that it leaves. */
   bool leaving_by_hearsay = false;
+  /** Streams that callers may take up cannot begin here yet, see `software_versions`. */
+  bool awaits_announcement = false;
   /** Its address refuses connections, as found by `endpoint_evidence`. */
   bool unreachable = false;
   /** Time of the endpoint's last response or event to this daemon. */
@@ -222,6 +224,8 @@
   endpoint_ptr FindByHash(std::uint64_t id_hash) const;
   /** @return a number that changes whenever an endpoint is added, replaced or removed. */
   std::uint64_t list_revision() const { return list_revision_; }
+  /** @return whether the list may be out of date because of an outage of the store. */
+  bool is_store_unavailable() const { return store_unavailable_; }
   /**
    * @return how many endpoints of the service may be out of use only because other daemons say so
    *     or because they refuse connections, less those that leave by hearsay: half of those listed,
--- a/include/tarragon/routing/service_config.h
+++ b/include/tarragon/routing/service_config.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -110,6 +111,9 @@
   const std::vector<route>& routes() const { return parts_.routes; }
   const std::vector<service>& services() const { return parts_.services; }
 
+  /** @return names of the services with streams that callers may take up. */
+  std::set<std::string, std::less<>> ResumableServices() const;
+
   /** @return the host's route with the longest prefix of `path`, or null if none matches. */
   const route* FindRoute(std::string_view host, std::string_view path) const;
 
--- a/src/gateway/config_updater.cc
+++ b/src/gateway/config_updater.cc
@@ -116,6 +116,10 @@
     }
   }
   gateway_.endpoints.SetColdStarts(gateway_.time.Now(), std::move(cold_starts));
+  if (gateway_.origin_lookup != nullptr) {
+    gateway_.versions.SetServices(gateway_.config->ResumableServices());
+    gateway_.UpdateOrigins();
+  }
 }
 
 void config_updater::OnStoreLost(std::string_view reason) {
--- a/src/gateway/daemon_table.cc
+++ b/src/gateway/daemon_table.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "tarragon/gateway/version_announcements.h"
+
 namespace tarragon::gateway {
 
 namespace {
@@ -62,12 +64,39 @@
 
 void daemon_table::OnTable(const std::vector<table_row>& rows, const table_position& position) {
   domains_.clear();
+  WithdrawUnlisted(rows);
   OnChanges(rows, position);
+  gateway_.versions.OnLoaded();
+  gateway_.UpdateOrigins();
+}
+
+void daemon_table::WithdrawUnlisted(const std::vector<table_row>& rows) {
+  std::erase_if(announcements_, [&](const auto& known) {
+    const bool is_listed = std::ranges::find(rows, known.first, &table_row::key) != rows.end();
+    if (!is_listed) {
+      gateway_.versions.OnWithdrawn(known.second);
+    }
+    return !is_listed;
+  });
+}
+
+void daemon_table::ApplyAnnouncement(const table_row& row) {
+  const auto known = announcements_.find(row.key);
+  const auto version = DecodeVersion(row.value);
+  if (row.deleted && known != announcements_.end()) {
+    gateway_.versions.OnWithdrawn(known->second);
+    announcements_.erase(known);
+  } else if (!row.deleted && version) {
+    announcements_.insert_or_assign(row.key, *version);
+    gateway_.versions.OnAnnounced(gateway_.time.Now(), *version);
+  }
 }
 
 void daemon_table::OnChanges(const std::vector<table_row>& rows, const table_position& position) {
   for (const table_row& row : rows) {
-    if (row.deleted) {
+    if (IsAnnouncement(row)) {
+      ApplyAnnouncement(row);
+    } else if (row.deleted) {
       domains_.erase(row.key);
     } else {
       const std::size_t separator = row.value.find(kSeparator);
@@ -76,6 +105,7 @@
     }
   }
   OnMembersChanged(position);
+  gateway_.UpdateOrigins();
 }
 
 void daemon_table::OnMembersChanged(const table_position& position) {
--- a/src/gateway/endpoint_updater.cc
+++ b/src/gateway/endpoint_updater.cc
@@ -45,6 +45,7 @@
     });
   }
   gateway_.endpoints.RemoveUnlisted(gateway_.time.Now(), position.version, present);
+  gateway_.UpdateOrigins();
   loaded_ = true;
 }
 
@@ -52,6 +53,7 @@
   for (const table_row& row : rows) {
     gateway_.RunGuarded("endpoint_row", [&] { ApplyRow(row); });
   }
+  gateway_.UpdateOrigins();
 }
 
 void endpoint_updater::OnStoreLost(std::string_view reason) {
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -31,12 +31,13 @@
 #include "tarragon/gateway/gateway_state.h"
 #include "tarragon/gateway/load_gossip.h"
 #include "tarragon/gateway/load_relay.h"
+#include "tarragon/gateway/origin_table.h"
 #include "tarragon/gateway/quarantine_table.h"
 #include "tarragon/gateway/readiness_log.h"
 #include "tarragon/gateway/relay_node.h"
 #include "tarragon/gateway/request_handler.h"
 #include "tarragon/gateway/status_server.h"
-#include "tarragon/gateway/store_connection.h"
+#include "tarragon/gateway/store_connections.h"
 #include "tarragon/gateway/table_replica.h"
 #include "tarragon/gateway/table_watcher.h"
 
@@ -101,16 +102,12 @@
                        [this](std::string_view) {
                          return status_server::response{kOk, counters.Expose()};
                        }),
-        config_connection(loop, platform, settings.store_address),
-        endpoint_connection(loop, platform, settings.store_address),
-        daemon_connection(loop, platform, settings.store_address),
-        registration_connection(loop, platform, settings.store_address),
-        quarantine_connection(loop, platform, settings.store_address),
+        connections(loop, platform, settings.store_address),
         config_listener(shared),
         endpoint_listener(shared),
         daemons(loop,
                 shared,
-                registration_connection,
+                connections.registration,
                 settings.peer_address,
                 [this](const std::vector<routing::relay_member>& others) { SetPeers(others); }),
         config_replica(config_listener,
@@ -127,21 +124,21 @@
                        [this] { relay.OnReplicaChanged(kDaemonTable); }),
         config_watcher(loop,
                        platform,
-                       config_connection,
+                       connections.config,
                        std::string(platform.ConfigTable()),
                        config_replica,
                        {},
                        MakeRandomSeed()),
         endpoint_watcher(loop,
                          platform,
-                         endpoint_connection,
+                         connections.endpoints,
                          std::string(platform.EndpointTable()),
                          endpoint_replica,
                          MakeWatchOptions(kEndpointFeedInterval),
                          MakeRandomSeed()),
         daemon_watcher(loop,
                        platform,
-                       daemon_connection,
+                       connections.daemons,
                        std::string(daemon_table::kTable),
                        daemon_replica,
                        MakeWatchOptions(kDaemonFeedInterval),
@@ -154,7 +151,7 @@
               loads,
               MakeRandomSeed()),
         gossip(loop, shared),
-        quarantine(loop, shared, quarantine_connection, settings.peer_address),
+        quarantine(loop, shared, connections.quarantine, settings.peer_address),
         signals(loop),
         housekeeping_timer(loop),
         exit_timer(loop) {
@@ -179,7 +176,10 @@
       loads.ScheduleExchange();
     };
     shared.on_evidence = [this] { gossip.ScheduleEvidence(); };
-    shared.on_store_restored = [this] { quarantine.SaveAgain(); };
+    shared.on_store_restored = [this] {
+      quarantine.SaveAgain();
+      shared.origins.ShareAgain();
+    };
     shared.on_work_done = [this] { ExitIfIdle(); };
     shared.quarantine.SetListener([this](const routing::request_trait& trait, bool is_own) {
       log.LogState("trait_quarantined", {{"trait", fmt::format("{:016x}", trait.id.value)},
@@ -388,11 +388,7 @@
   asio::ip::tcp::acceptor acceptor;
   status_server readiness_server;
   status_server metrics_server;
-  store_connection config_connection;
-  store_connection endpoint_connection;
-  store_connection daemon_connection;
-  store_connection registration_connection;
-  store_connection quarantine_connection;
+  store_connections connections;
   config_updater config_listener;
   endpoint_updater endpoint_listener;
   daemon_table daemons;
@@ -407,6 +403,7 @@
   relay_node relay;
   load_gossip gossip;
   quarantine_table quarantine;
+  origin_table origins{loop, shared, connections.origin_writes, connections.origin_reads};
   asio::signal_set signals;
   asio::steady_timer housekeeping_timer;
   asio::steady_timer exit_timer;
@@ -456,6 +453,10 @@
     self.log.LogState("metrics_unavailable", {{"address", settings.metrics_address}});
   }
   asio::error_code error;
+  if (!settings.peer_address.empty()) {
+    self.shared.origin_lookup = &self.origins;
+    self.shared.on_origins = [&self] { self.origins.Update(); };
+  }
   self.signals.add(SIGTERM, error);
   self.signals.add(SIGINT, error);
   self.signals.add(SIGHUP, error);
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -74,8 +74,37 @@
   }
 }
 
+void gateway_state::UpdateOrigins() {
+  versions.Apply(time.Now(), endpoints);
+  std::erase_if(mixed_services_, [this](const std::string& service) {
+    return !versions.HasResumableStreams(service);
+  });
+  for (const std::string& service : versions.services()) {
+    if (!versions.IsMixed(service)) {
+      mixed_services_.erase(service);
+    } else if (mixed_services_.insert(service).second) {
+      origins.ShareAll(service);
+    }
+  }
+  if (on_origins) {
+    on_origins();
+  }
+}
+
+void gateway_state::RecordOrigin(const routing::stream_origin& origin, time_point keep_until) {
+  const bool is_mixed = IsMixed(origin.version.service);
+  origins.Record(origin, keep_until, is_mixed);
+  if (is_mixed && on_origins) {
+    on_origins();
+  }
+}
+
 void gateway_state::KeepHouse() {
   const time_point now = time.Now();
+  origins.Expire(now);
+  origins.Validate();
+  versions.Validate();
+  UpdateOrigins();
   evidence.Expire(now);
   evidence.Apply(now, endpoints);
   evidence.Validate();
@@ -109,6 +138,9 @@
   set("tarragon_gateway_cold_endpoints", cold);
   set("tarragon_gateway_unreachable_endpoints", unreachable);
   set("tarragon_gateway_used_endpoints", used_endpoints.size());
+  set("tarragon_gateway_announced_versions", versions.announced_count());
+  set("tarragon_gateway_known_streams", origins.size());
+  set("tarragon_gateway_unwritten_origins", origins.unwritten_count());
   set("tarragon_gateway_quarantined_traits", quarantine.quarantined_count());
   set("tarragon_gateway_evacuated_domains", endpoints.evacuations().evacuated_count());
   set("tarragon_gateway_open_requests", open_requests.size());
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -94,7 +94,10 @@
     admitted.resumed_request_id = headers.Find(names.resumed_request_id).value_or("");
   }
   constexpr double kHashRange = 18446744073709551616.0;
-  const double point = static_cast<double>(Hash64(request_id)) / kHashRange;
+  // A stream that is taken up goes on at the service that began it.
+  const std::string_view first_id =
+      admitted.resumed_request_id.empty() ? request_id : admitted.resumed_request_id;
+  const double point = static_cast<double>(Hash64(first_id)) / kHashRange;
   admitted.service_name = routing::PickService(route, point);
   admitted.service = gateway.config->FindService(admitted.service_name);
   if (admitted.service != nullptr && admitted.service->engine) {
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -9,6 +9,7 @@
 #include "tarragon/base/invariant.h"
 #include "tarragon/gateway/endpoint_request.h"
 #include "tarragon/gateway/endpoint_statements.h"
+#include "tarragon/gateway/origin_finder.h"
 
 namespace tarragon::gateway {
 
@@ -38,6 +39,8 @@
 /** Cooldown after a failed connect or silence; a crashed endpoint is down for seconds. */
 constexpr std::chrono::milliseconds kFailureCooldown{1000};
 
+/** Time after its deadline in which a caller may still take up a stream. */
+constexpr std::chrono::seconds kTakeUpTime{10};
 /** The stream cannot go on, whenever its caller comes back: only a new one can be served. */
 constexpr std::chrono::milliseconds kLostStreamRetryAfter{30000};
 
@@ -109,10 +112,78 @@
   stream_.StartAfter(admitted_.last_event);
   copies_ = std::make_unique<generation_copies>(gateway_, id_);
   gateway_.Budget(admitted_.service_name).RecordRequest(gateway_.time.Now());
-  Dispatch();
+  if (admitted_.last_event && admitted_.route->kind == routing::repeat_kind::kStream) {
+    FindOrigin();
+  } else {
+    Dispatch();
+  }
   ArmTimer();
 }
 
+void request_handler::FindOrigin() {
+  const routing::stream_key key =
+      routing::MakeStreamKey(admitted_.account, admitted_.resumed_request_id);
+  const std::vector<routing::software_version> own = gateway_.origins.Find(key);
+  if (!own.empty()) {
+    OnOriginFound(routing::DecideTakeUp(own, {}));
+  } else if (gateway_.origin_lookup == nullptr) {
+    Dispatch();
+  } else {
+    gateway_.origin_lookup->Find(
+        key, admitted_.service_name,
+        [self = shared_from_this()](const std::optional<routing::take_up_decision>& found) {
+          self->OnOriginFound(found);
+        });
+  }
+}
+
+void request_handler::OnOriginFound(const std::optional<routing::take_up_decision>& found) {
+  if (finished_) {
+    return;
+  }
+  const auto* const origin = found ? std::get_if<routing::continue_at>(&*found) : nullptr;
+  const bool is_routed =
+      origin != nullptr &&
+      std::ranges::find(admitted_.route->services, origin->version.service,
+                        &routing::weighted_service::service) != admitted_.route->services.end();
+  gateway_.log.LogRequest("stream_taken_up",
+                          {{"request", id_},
+                           {"resumes", admitted_.resumed_request_id},
+                           {"store", found.has_value()},
+                           {"known", origin != nullptr},
+                           {"software", origin != nullptr ? origin->version.version : "-"},
+                           {"age_ms", Age().count()}});
+  if (!found) {
+    FailRequest("stream_origin_unavailable", kBadGateway, kDefaultRetryAfter);
+  } else if (!is_routed) {
+    FailRequest("stream_origin_unknown", kBadGateway, kLostStreamRetryAfter);
+  } else {
+    admitted_.service_name = origin->version.service;
+    admitted_.service = admitted_.config->FindService(admitted_.service_name);
+    software_version_ = origin->version.version;
+    Dispatch();
+  }
+}
+
+bool request_handler::IsResumable() const {
+  return admitted_.route->kind == routing::repeat_kind::kStream && admitted_.route->resumable;
+}
+
+routing::stream_origin request_handler::OriginAt(const routing::endpoint& target) const {
+  return {routing::MakeStreamKey(admitted_.account, id_),
+          {target.entry.service, target.entry.software_version}};
+}
+
+bool request_handler::MayBeginAt(const routing::endpoint& target) {
+  if (!IsResumable() || software_version_) {
+    return true;
+  }
+  const routing::stream_origin origin = OriginAt(target);
+  const bool may_begin = gateway_.origins.MaySend(origin, gateway_.IsMixed(origin.version.service));
+  gateway_.RecordOrigin(origin, admitted_.deadline + kTakeUpTime);
+  return may_begin;
+}
+
 routing::pick_request request_handler::MakePickRequest() const {
   routing::pick_request requirements;
   requirements.service = admitted_.service_name;
@@ -129,6 +200,7 @@
   requirements.has_begun = response_started_;
   requirements.excluded = excluded_endpoints_;
   requirements.software_version = software_version_;
+  requirements.is_resumable = IsResumable();
   return requirements;
 }
 
@@ -164,6 +236,11 @@
     WaitForCapacity();
     return;
   }
+  if (!MayBeginAt(*pick.chosen)) {
+    ExecuteWait(DecideWithoutEndpoint(routing::pick_result{}, DescribeWait(), RandomPoint()),
+                "stream_origin_unrecorded", "tarragon_gateway_origin_waits_total");
+    return;
+  }
   SendTo(pick.chosen, std::nullopt);
   gateway_.log.LogRequest("request_sent",
                           {{"request", id_},
@@ -557,6 +634,8 @@
   verdict_ = Combine(verdict_, verdict);
   if (verdict != run_verdict::kNotRun) {
     ++runs_;
+  } else if (IsResumable() && !software_version_) {
+    gateway_.origins.Retract(OriginAt(*target_));
   }
   ++(failure == routing::send_failure::kConnectFailed ? failed_connects_ : sends_without_progress_);
   copies_->EndSend();
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -29,7 +29,8 @@
 }
 
 bool IsUsable(time_point now, const endpoint& candidate, const pick_request& request) {
-  return MayBeUsedLater(candidate, request) && candidate.cooldown_until <= now &&
+  const bool may_begin = !request.is_resumable || !candidate.awaits_announcement;
+  return MayBeUsedLater(candidate, request) && may_begin && candidate.cooldown_until <= now &&
          !candidate.pause.IsPaused(now);
 }
 
--- a/src/routing/service_config.cc
+++ b/src/routing/service_config.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -43,6 +44,17 @@
   Validate();
 }
 
+std::set<std::string, std::less<>> service_config::ResumableServices() const {
+  std::set<std::string, std::less<>> names;
+  for (const route& rule : parts_.routes) {
+    if (rule.kind == repeat_kind::kStream && rule.resumable) {
+      std::ranges::transform(rule.services, std::inserter(names, names.end()),
+                             &weighted_service::service);
+    }
+  }
+  return names;
+}
+
 const route* service_config::FindRoute(std::string_view host, std::string_view path) const {
   const auto found = routes_by_host_.find(host);
   if (found == routes_by_host_.end()) {
--- a/tests/emulator/store_emulator.cc
+++ b/tests/emulator/store_emulator.cc
@@ -23,6 +23,11 @@
       .count();
 }
 
+/** @return name under which the rows of a table's partition are kept. */
+std::string PartitionName(const std::string& table, const std::string& part) {
+  return part.empty() ? table : table + '\n' + part;
+}
+
 std::uint64_t ParseNumberOrZero(const std::string& text) {
   return text.empty() ? 0 : std::stoull(text);
 }
@@ -89,8 +94,8 @@
   }
 }
 
-std::size_t store_emulator::RowCount(const std::string& table) const {
-  const auto found = tables_.find(table);
+std::size_t store_emulator::RowCount(const std::string& table, const std::string& part) const {
+  const auto found = tables_.find(PartitionName(table, part));
   return found == tables_.end()
              ? 0
              : static_cast<std::size_t>(std::ranges::count_if(
@@ -123,16 +128,17 @@
   }
 }
 
-nlohmann::json store_emulator::MakePage(const std::string& table,
-                                        std::uint64_t after,
-                                        bool with_deleted) const {
+nlohmann::json store_emulator::MakePage(const std::string& table, const page_filter& filter) const {
   nlohmann::json rows = nlohmann::json::array();
-  if (const auto found = tables_.find(table); found != tables_.end()) {
+  if (const auto found = tables_.find(PartitionName(table, filter.part)); found != tables_.end()) {
     for (const auto& [key, row] : found->second) {
-      if (row.version <= after || (row.deleted && !with_deleted)) {
+      const bool is_wanted = row.version > filter.after && (!row.deleted || filter.with_deleted) &&
+                             key >= filter.from && (filter.to.empty() || key < filter.to);
+      if (!is_wanted) {
         continue;
       }
-      nlohmann::json item = {{"table", table}, {"part", ""}, {"key", key}, {"ver", row.version}};
+      nlohmann::json item = {
+          {"table", table}, {"part", filter.part}, {"key", key}, {"ver", row.version}};
       if (row.deleted) {
         item["tombstone"] = true;
       } else {
@@ -148,7 +154,17 @@
 }
 
 void store_emulator::HandleRowsGet(const incoming_request& request, const responder_ptr& response) {
-  Respond(response, kStatusOk, MakePage(request.Query("table"), 0, false).dump());
+  Respond(response, kStatusOk,
+          MakePage(request.Query("table"), {.part = request.Query("part"),
+                                            .from = request.Query("from"),
+                                            .to = request.Query("to"),
+                                            .after = 0,
+                                            .with_deleted = false})
+              .dump());
+}
+
+store_emulator::page_filter store_emulator::FeedFilter(std::uint64_t after) {
+  return {.part = {}, .from = {}, .to = {}, .after = after, .with_deleted = true};
 }
 
 void store_emulator::HandleRowsFeed(const incoming_request& request,
@@ -159,7 +175,7 @@
     Respond(response, kStatusGone, "{}");
     return;
   }
-  nlohmann::json page = MakePage(table, after, true);
+  nlohmann::json page = MakePage(table, FeedFilter(after));
   const auto wait = std::chrono::milliseconds(ParseNumberOrZero(request.Query("wait-ms")));
   if (!page["rows"].empty() || wait.count() == 0) {
     Respond(response, kStatusOk, page.dump());
@@ -171,7 +187,8 @@
     const auto expired = std::ranges::find(waiting_feeds_, timeout,
                                            [](const waiting_feed& feed) { return feed.timeout; });
     if (!error && expired != waiting_feeds_.end()) {
-      Respond(expired->response, kStatusOk, MakePage(expired->table, expired->after, true).dump());
+      Respond(expired->response, kStatusOk,
+              MakePage(expired->table, FeedFilter(expired->after)).dump());
       waiting_feeds_.erase(expired);
     }
   });
@@ -179,7 +196,7 @@
 
 void store_emulator::AnswerWaitingFeeds() {
   waiting_feeds_.remove_if([this](const waiting_feed& feed) {
-    const nlohmann::json page = MakePage(feed.table, feed.after, true);
+    const nlohmann::json page = MakePage(feed.table, FeedFilter(feed.after));
     if (state_ != store_state::kServing || page["rows"].empty()) {
       return feed.response->is_closed();
     }
@@ -192,7 +209,7 @@
                                            const responder_ptr& response) {
   const nlohmann::json call = nlohmann::json::parse(request.body, nullptr, false);
   const auto current_version = [this](const nlohmann::json& item) -> std::uint64_t {
-    const row& current = tables_[item["table"]][item["key"]];
+    const row& current = tables_[PartitionName(item["table"], item["part"])][item["key"]];
     return current.deleted ? 0 : current.version;
   };
   const nlohmann::json& conditions = call["expected-rev"];
@@ -205,10 +222,12 @@
   }
   ++version_;
   for (const nlohmann::json& item : call["set-keys"]) {
-    Write(item["table"], item["key"], {platform::DecodeBase64(std::string(item["value"])).value()});
+    Write(PartitionName(item["table"], item["part"]), item["key"],
+          {platform::DecodeBase64(std::string(item["value"])).value()});
   }
   for (const nlohmann::json& item : call["remove"]) {
-    Write(item["table"], item["key"], {.value = {}, .version = 0, .deleted = true});
+    Write(PartitionName(item["table"], item["part"]), item["key"],
+          {.value = {}, .version = 0, .deleted = true});
   }
   Respond(response, kStatusOk,
           nlohmann::json{{"ver", version_}, {"now-ms", SteadyMilliseconds()}}.dump());
--- a/tests/emulator/store_emulator.h
+++ b/tests/emulator/store_emulator.h
@@ -52,7 +52,7 @@
   std::uint64_t era() const { return era_; }
   std::uint64_t version() const { return version_; }
 
-  std::size_t RowCount(const std::string& table) const;
+  std::size_t RowCount(const std::string& table, const std::string& part = {}) const;
   std::uint64_t call_count() const { return call_count_; }
 
  private:
@@ -77,7 +77,17 @@
   void HandleRowsGet(const incoming_request& request, const responder_ptr& response);
   void HandleRowsFeed(const incoming_request& request, const responder_ptr& response);
   void HandleRowsTransaction(const incoming_request& request, const responder_ptr& response);
-  nlohmann::json MakePage(const std::string& table, std::uint64_t after, bool with_deleted) const;
+  /** Rows of a page: those of the default partition unless a read names another one. */
+  struct page_filter {
+    std::string part;
+    std::string from;
+    /** First key that is left out; empty for none. */
+    std::string to;
+    std::uint64_t after = 0;
+    bool with_deleted = false;
+  };
+  static page_filter FeedFilter(std::uint64_t after);
+  nlohmann::json MakePage(const std::string& table, const page_filter& filter) const;
   void Respond(const responder_ptr& response, int status, std::string_view body) const;
   /** Writes the rows of a table that differ from the restored ones. */
   void WriteAgain(const std::string& table, const std::map<std::string, row>& lost);
--- a/tests/routing/endpoint_picker_test.cc
+++ b/tests/routing/endpoint_picker_test.cc
@@ -64,8 +64,8 @@
   pick_request request;
 };
 
-// Guards against a stream that goes on, or is copied, at another version than the one that began it,
-// and against waiting for a version that has left.
+// Guards against a stream that goes on, or is copied, at another version than the one that began
+// it, and against waiting for a version that has left.
 TEST_F(endpoint_picker_test, StreamStaysAtItsSoftwareVersion) {
   RequestLongStream();
   for (const char* id : {"a", "b"}) {
