Count only daemons in the tests that count rows of their table

The table of daemons holds the announcements of software versions as well, so that ServesEachKindOfRequest, DaemonsRegisterAgain and KeepsPromisesWhenTheStoreReturnsFromCopies counted one row more than there are gateways; they failed since the announcements. They now count the rows of daemons, and still want exactly one for each gateway. A test shows that a take-up on a split route goes to the service of the first attempt.

--- a/tests/emulator/gateway_fleet_test.cc
+++ b/tests/emulator/gateway_fleet_test.cc
@@ -44,7 +44,7 @@
   ASSERT_TRUE(fleet.RunUntil([&] { return AllRequestsDone(fleet); }, kTimeout));
   EXPECT_TRUE(std::ranges::all_of(calls, [](const auto& call) { return call->is_served(); }));
   EXPECT_EQ(fleet.DescribeViolations(), "");
-  EXPECT_EQ(fleet.store().RowCount("daemons"), fleet.gateway_count());
+  EXPECT_EQ(fleet.store().CountDaemons(), fleet.gateway_count());
 }
 
 // Guards against reports that are cut off when an engine stops after it announced that it leaves.
@@ -443,8 +443,8 @@
   EXPECT_TRUE(fleet.RunUntil(
       [&] { return fleet.FindInLogs(newest).size() == fleet.gateway_count(); }, seconds(5)))
       << "seed " << GetParam();
-  EXPECT_TRUE(fleet.RunUntil(
-      [&] { return fleet.store().RowCount("daemons") == fleet.gateway_count(); }, seconds(5)))
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.store().CountDaemons() == fleet.gateway_count(); },
+                             seconds(5)))
       << "seed " << GetParam();
   EXPECT_TRUE(fleet.WaitUntilServing()) << "seed " << GetParam();
   EXPECT_TRUE(fleet.RunUntil([&] { return AllRequestsDone(fleet); }, seconds(25)));
--- a/tests/emulator/restored_store_test.cc
+++ b/tests/emulator/restored_store_test.cc
@@ -156,13 +156,13 @@
 // Guards against daemons that nobody finds any more because their rows are lost with the copy.
 TEST_F(restored_store_test, DaemonsRegisterAgain) {
   ASSERT_TRUE(fleet.WaitUntilServing());
-  ASSERT_EQ(fleet.store().RowCount("daemons"), fleet.gateway_count());
+  ASSERT_EQ(fleet.store().CountDaemons(), fleet.gateway_count());
   LoseStore();
   fleet.store().RestoreCopy();
-  ASSERT_EQ(fleet.store().RowCount("daemons"), 0U);
+  ASSERT_EQ(fleet.store().CountDaemons(), 0U);
   ServeAgain();
-  EXPECT_TRUE(fleet.RunUntil(
-      [&] { return fleet.store().RowCount("daemons") == fleet.gateway_count(); }, seconds(5)));
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.store().CountDaemons() == fleet.gateway_count(); },
+                             seconds(5)));
 }
 
 }  // namespace
--- a/tests/emulator/store_emulator.cc
+++ b/tests/emulator/store_emulator.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base64.h"
+#include "tarragon/gateway/version_announcements.h"
 
 namespace tarragon::emulator {
 
@@ -94,12 +95,14 @@
   }
 }
 
-std::size_t store_emulator::RowCount(const std::string& table, const std::string& part) const {
-  const auto found = tables_.find(PartitionName(table, part));
+std::size_t store_emulator::CountDaemons() const {
+  const auto found = tables_.find("daemons");
+  const auto is_daemon = [](const auto& entry) {
+    return !entry.second.deleted && !entry.first.starts_with(gateway::kAnnouncementPrefix);
+  };
   return found == tables_.end()
              ? 0
-             : static_cast<std::size_t>(std::ranges::count_if(
-                   found->second, [](const auto& entry) { return !entry.second.deleted; }));
+             : static_cast<std::size_t>(std::ranges::count_if(found->second, is_daemon));
 }
 
 void store_emulator::Handle(const incoming_request& request, const responder_ptr& response) {
--- a/tests/emulator/store_emulator.h
+++ b/tests/emulator/store_emulator.h
@@ -52,7 +52,8 @@
   std::uint64_t era() const { return era_; }
   std::uint64_t version() const { return version_; }
 
-  std::size_t RowCount(const std::string& table, const std::string& part = {}) const;
+  /** @return number of daemons that are registered; other rows of their table do not count. */
+  std::size_t CountDaemons() const;
   std::uint64_t call_count() const { return call_count_; }
 
  private:
--- a/tests/gateway/request_admission_test.cc
+++ b/tests/gateway/request_admission_test.cc
@@ -61,6 +61,24 @@
   EXPECT_NE(content_of(first), content_of(Request("/safe/2", "500")));
 }
 
+// Guards against a stream on a split route that goes on at another service than the one that began
+// it.
+TEST_F(request_admission_test, TakeUpGoesToTheServiceOfTheFirstAttempt) {
+  routing::service_config_parts parts;
+  parts.routes = {MakeRoute("/split/", routing::repeat_kind::kStream, "engines")};
+  parts.routes.front().services.push_back({"calls", 1});
+  gateway.config = routing::service_config::Make(std::move(parts));
+  for (int first = 0; first < 20; ++first) {
+    const caller_request begun = Request("/split/1", "500");
+    caller_request taken_up = begun;
+    taken_up.head.headers.Add("Last-Event-Id", "3");
+    taken_up.head.headers.Add("Resumes", std::to_string(first));
+    EXPECT_EQ(std::get<admitted_request>(AdmitRequest(gateway, begun, std::to_string(first)))
+                  .service_name,
+              std::get<admitted_request>(AdmitRequest(gateway, taken_up, "other")).service_name);
+  }
+}
+
 // Guards against callers that give up or retry at once because a draining gateway does not say when
 // to try again.
 TEST_F(request_admission_test, RefusalsHaveARetryAfter) {
