--- a/src/gateway/origin_table.cc
+++ b/src/gateway/origin_table.cc
@@ -18,8 +18,8 @@
 constexpr std::size_t kMaxEntries = 100;
 /** Share of the store's transactions per second and partition that all daemons use for records. */
 constexpr int kFleetWritesPerSecond = 150;
-/** Time in which the records of streams that begin at the same moment are gathered. */
-constexpr std::chrono::milliseconds kGatherTime{5};
+/** Shortest delay of a scheduled update. */
+constexpr std::chrono::milliseconds kMinUpdateDelay{5};
 /** Rows that are erased without a record to write, while further records are expected. */
 constexpr std::size_t kMinErasedAlone = 50;
 constexpr std::chrono::milliseconds kCallTimeout{800};
@@ -152,7 +152,7 @@
   if (announce_at_) {
     ScheduleUpdate(*announce_at_ - now);
   } else if (gateway_.origins.unwritten_count() > 0) {
-    ScheduleUpdate(std::max<duration>(next_record_write_ - now, kGatherTime));
+    ScheduleUpdate(std::max<duration>(next_record_write_ - now, kMinUpdateDelay));
   }
 }
 
