--- a/tests/emulator/mixed_versions_run_test.cc
+++ b/tests/emulator/mixed_versions_run_test.cc
@@ -53,6 +53,7 @@
 
   void InjectFault() {
     constexpr std::uint64_t kFaults = 8;
+    gateway_child& victim = fleet.gateway(AnyGateway());
     switch (fleet.random()() % kFaults) {
       case 0:
         fleet.SetSoftwareVersion(fmt::format("v{}", 1 + fleet.random()() % 3));
@@ -60,12 +61,10 @@
       case 1:
         fleet.RestartGateways();
         break;
-      case 2: {
-        gateway_child& victim = fleet.gateway(AnyGateway());
+      case 2:
         victim.Kill();
         victim.Start();
         break;
-      }
       case 3:
         fleet.store().SetState(static_cast<store_state>(fleet.random()() % 4));
         break;
@@ -75,23 +74,17 @@
       case 5:
         fleet.CrashEngine();
         break;
-      case 6: {
-        gateway_child& victim = fleet.gateway(AnyGateway());
+      case 6:
         victim.SendSignal(SIGSTOP);
         fleet.RunFor(milliseconds(100 + fleet.random()() % 500));
         victim.SendSignal(SIGCONT);
         break;
-      }
       default:
         fleet.ReplaceEngine(milliseconds(200 + fleet.random()() % 800));
         break;
     }
   }
 
-  bool AllDone() const {
-    return std::ranges::all_of(fleet.callers(), [](const auto& sent) { return sent->is_done(); });
-  }
-
   static fleet_options MakeOptions() {
     fleet_options options;
     options.seed = GetParam();
@@ -117,7 +110,10 @@
   }
   fleet.store().SetState(store_state::kServing);
   EXPECT_TRUE(fleet.WaitUntilServing()) << "seed " << GetParam();
-  EXPECT_TRUE(fleet.RunUntil([&] { return AllDone(); }, kTimeout)) << "seed " << GetParam();
+  const auto is_done = [](const auto& sent) { return sent->is_done(); };
+  EXPECT_TRUE(
+      fleet.RunUntil([&] { return std::ranges::all_of(fleet.callers(), is_done); }, kTimeout))
+      << "seed " << GetParam();
   EXPECT_EQ(fleet.DescribeViolations(), "") << "seed " << GetParam();
 }
 
--- a/tests/emulator/software_version_test.cc
+++ b/tests/emulator/software_version_test.cc
@@ -46,14 +46,11 @@
       streams.push_back(fleet.SendRequest(kind, kEvents, gateway));
       fleet.RunFor(milliseconds(5));
     }
-    EXPECT_TRUE(fleet.RunUntil([&] { return AllHaveBegun(streams); }, kTimeout));
+    const auto has_begun = [](const auto& sent) { return sent->last_event() > 0; };
+    EXPECT_TRUE(fleet.RunUntil([&] { return std::ranges::all_of(streams, has_begun); }, kTimeout));
     return streams;
   }
 
-  static bool AllHaveBegun(const stream_list& streams) {
-    return std::ranges::all_of(streams, [](const auto& sent) { return sent->last_event() > 0; });
-  }
-
   stream_list TakeUp(const stream_list& broken, std::size_t gateway) {
     stream_list taken_up;
     std::ranges::transform(broken, std::back_inserter(taken_up), [&](const auto& sent) {
@@ -64,12 +61,9 @@
   }
 
   void Finish() {
-    EXPECT_TRUE(fleet.RunUntil(
-        [&] {
-          return std::ranges::all_of(fleet.callers(),
-                                     [](const auto& sent) { return sent->is_done(); });
-        },
-        kTimeout));
+    const auto is_done = [](const auto& sent) { return sent->is_done(); };
+    EXPECT_TRUE(
+        fleet.RunUntil([&] { return std::ranges::all_of(fleet.callers(), is_done); }, kTimeout));
     EXPECT_EQ(fleet.DescribeViolations(), "");
   }
 
@@ -110,7 +104,6 @@
   const stream_list taken_up = TakeUp(streams, 1);
   Finish();
   EXPECT_GE(CountServed(taken_up), taken_up.size() * 3 / 4);
-  fleet.gateway(0).Start();
 }
 
 // Same after all daemons were killed at once.
--- a/tests/routing/source_selector_test.cc
+++ b/tests/routing/source_selector_test.cc
@@ -91,22 +91,20 @@
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     fake_relay_fleet fleet(GetParam(), kDomains, seed);
     fleet.RunFor(seconds(5));
-    std::vector<fake_relay_fleet::daemon*> cut;
-    std::vector<fake_relay_fleet::daemon*> restarted;
     std::size_t position = 0;
     for (fake_relay_fleet::daemon& known : fleet.daemons | std::views::values) {
-      (position++ % 3 == 0 ? cut : restarted).push_back(&known);
-    }
-    for (fake_relay_fleet::daemon* known : cut) {
-      known->reaches_store = known->reaches_peers = false;
+      known.reaches_store = known.reaches_peers = position++ % 3 != 0;
     }
     ++fleet.store_version;
     fleet.RunFor(seconds(5) + milliseconds(250) * seed);
-    for (fake_relay_fleet::daemon* known : cut) {
-      known->reaches_store = known->reaches_peers = true;
+    std::vector<fake_relay_fleet::daemon*> restarted;
+    for (fake_relay_fleet::daemon& known : fleet.daemons | std::views::values) {
+      if (known.reaches_peers) {
+        fleet.StartDaemon(known);
+        restarted.push_back(&known);
+      }
+      known.reaches_store = known.reaches_peers = true;
     }
-    std::ranges::for_each(restarted,
-                          [&](fake_relay_fleet::daemon* known) { fleet.StartDaemon(*known); });
     const time_point end = fleet.now + kStartTime;
     while (fleet.now < end) {
       fleet.RunFor(fake_relay_fleet::kStep);
