Wait for the records of streams before the test that judges each of them

StreamsOfAVersionThatHasLeftAreRefusedAtOnce failed once beside load and then 2 times of 6 beside six busy processes. Traced: 23 of 24 records were in the store when all gateways were killed, and the take-up of the 24th was refused with stream_origin_unknown, as docs/design/stream-origins.md says of a daemon that dies before the record is written; emulated engines send their first event after 5 ms. The test wants an answer for every single stream, and now kills the gateways once the store has all records; its checks are the same. The tests that want three quarters of the take-ups still kill at once.

--- a/tests/emulator/software_version_test.cc
+++ b/tests/emulator/software_version_test.cc
@@ -119,6 +119,8 @@
 // Same if the engines of one version have left before the daemons are back.
 TEST_F(software_version_test, StreamsOfAVersionThatHasLeftAreRefusedAtOnce) {
   const stream_list streams = BeginStreams(call_kind::kTag, 24, 0);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.store().CountStreamRecords() >= streams.size(); },
+                             kTimeout));
   fleet.StopEngines("v1");
   fleet.RestartGateways();
   ASSERT_TRUE(fleet.WaitUntilServing());
--- a/tests/emulator/store_emulator.h
+++ b/tests/emulator/store_emulator.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -54,6 +55,8 @@
 
   /** @return number of daemons that are registered; other rows of their table do not count. */
   std::size_t CountDaemons() const;
+  /** @return number of records of streams. */
+  std::size_t CountStreamRecords() const;
   std::uint64_t call_count() const { return call_count_; }
 
  private:
@@ -74,6 +77,8 @@
     std::uint64_t version = 1;
   };
 
+  std::size_t CountRows(const std::string& partition,
+                        const std::function<bool(const std::string& key)>& is_wanted) const;
   void Handle(const incoming_request& request, const responder_ptr& response);
   void HandleRowsGet(const incoming_request& request, const responder_ptr& response);
   void HandleRowsFeed(const incoming_request& request, const responder_ptr& response);
