--- a/include/tarragon/gateway/origin_table.h
+++ b/include/tarragon/gateway/origin_table.h
@@ -59,7 +59,10 @@
   void ScheduleUpdate(duration delay);
   /** @return time between two writes of records, so that all daemons together load the store. */
   duration WriteInterval() const;
-  /** @return whether the time is over that this daemon leaves to others; chosen at first. */
+  /**
+   * Spreads a write that all daemons would make at the same moment, so that few of them make it.
+   * @param until time from which this daemon may write; chosen by the first call.
+   */
   bool HasWaited(time_point now, std::optional<time_point>& until);
   bool MayAnnounce(time_point now);
   bool MayWithdraw(time_point now);
