--- a/tests/routing/source_selector_test.cc
+++ b/tests/routing/source_selector_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <chrono>
+#include <random>
 #include <ranges>
 #include <string>
 #include <vector>
@@ -22,6 +23,10 @@
 /** The strictest time in which the users' relayed deployments want a change in force. */
 constexpr milliseconds kChangeBound{3000};
 
+/** The strictest time in which the users want a change in force at daemons that the store refuses.
+ */
+constexpr milliseconds kRefusedChangeBound{7000};
+
 /** Time after the end of a disruption from which the users hold a daemon to the change bound. */
 constexpr milliseconds kContactTime{4000};
 
@@ -155,6 +160,32 @@
   EXPECT_LE(fleet.store_calls, GetParam() > kMaxDirectReaders ? 4 * kDomains : 4 * GetParam());
 }
 
+// Guards against a daemon that stays with old rows because the store refuses it and its sources,
+// although other daemons have newer ones.
+TEST_P(source_selector_sizes, ChangesReachDaemonsThatTheStoreRefuses) {
+  for (const double share : {0.35, 0.6, 0.9}) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      fake_relay_fleet fleet(GetParam(), kDomains, seed);
+      fleet.RunFor(seconds(5));
+      std::mt19937_64 random(seed);
+      for (fake_relay_fleet::daemon& known : fleet.daemons | std::views::values) {
+        known.reaches_store = !std::bernoulli_distribution(share)(random);
+      }
+      fleet.Root("domain-0").reaches_store = false;
+      fleet.daemons.rbegin()->second.reaches_store = true;
+      fleet.RunFor(milliseconds(500) * seed);
+      ++fleet.store_version;
+      fleet.RunFor(kRefusedChangeBound);
+      EXPECT_EQ(fleet.CountBehind(2), 0U) << "share " << share << ", seed " << seed;
+      for (fake_relay_fleet::daemon& known : fleet.daemons | std::views::values) {
+        known.reaches_store = true;
+      }
+      fleet.RunFor(seconds(5));
+      EXPECT_EQ(fleet.CountReading(), GetParam() > kMaxDirectReaders ? kDomains : GetParam());
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, source_selector_sizes, testing::Values(8, 64, 195, 390));
 
 // Guards against any combination of dead, cut off and restarted daemons after which a daemon that
