Failing test: a gateway without a path to any endpoint serves nothing

The emulator gives the first gateways addresses of their own for all endpoints, by views of the store, so that they can be cut off from all endpoints while callers, the store and the other gateways reach them.

--- a/tests/emulator/endpoint_emulator.cc
+++ b/tests/emulator/endpoint_emulator.cc
@@ -39,7 +39,21 @@
 }
 
 endpoint_emulator::~endpoint_emulator() {
-  engines_.erase(address());
+  std::erase_if(engines_, [this](const auto& known) { return known.second == this; });
+}
+
+void endpoint_emulator::AddEntrance() {
+  entrances_.push_back(std::make_unique<http_service>(
+      loop_, [this](const auto& request, const auto& response) { Handle(request, response); }));
+  engines_[entrances_.back()->address()] = this;
+}
+
+void endpoint_emulator::SetEntranceOpen(std::size_t entrance, bool is_open) {
+  if (is_open) {
+    entrances_.at(entrance)->Reopen();
+  } else {
+    entrances_.at(entrance)->Close();
+  }
 }
 
 bool endpoint_emulator::ChooseWithProbability(double probability) {
@@ -230,6 +244,7 @@
   kv_copies_.clear();
   engines_.erase(address());
   service_.Close();
+  std::ranges::for_each(entrances_, [](const auto& entrance) { entrance->Close(); });
 }
 
 }  // namespace tarragon::emulator
--- a/tests/emulator/endpoint_emulator.h
+++ b/tests/emulator/endpoint_emulator.h
@@ -66,6 +66,14 @@
   const std::string& failure_domain() const { return options_.failure_domain; }
   std::string address() const { return service_.address(); }
 
+  /** Adds an address at which only one gateway reaches the endpoint. */
+  void AddEntrance();
+  std::string EntranceAddress(std::size_t entrance) const {
+    return entrances_.at(entrance)->address();
+  }
+  /** Resets the connections of that gateway and refuses new ones, or accepts them again. */
+  void SetEntranceOpen(std::size_t entrance, bool is_open);
+
   /** @param per_second rate that the endpoint names in its answers; empty for none. */
   void SetRateLimit(std::optional<double> per_second) { rate_limit_ = per_second; }
 
@@ -121,6 +129,7 @@
   std::map<std::string, std::uint64_t> kv_copies_;
   asio::steady_timer timer_;
   http_service service_;
+  std::vector<std::unique_ptr<http_service>> entrances_;
 };
 
 }  // namespace tarragon::emulator
--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -10,6 +10,8 @@
 #include <sstream>
 #include <utility>
 
+#include "tarragon/base/invariant.h"
+
 namespace tarragon::emulator {
 
 namespace {
@@ -64,7 +66,7 @@
   }
   for (std::size_t i = 0; i < options_.gateways; ++i) {
     gateways_.push_back(std::make_unique<gateway_child>(
-        gateway_options{fmt::format("vm-{}", i), fmt::format("domain-{}", i % 3), store_.address(),
+        gateway_options{fmt::format("vm-{}", i), fmt::format("domain-{}", i % 3), StoreAddressOf(i),
                         folder_, options_.further_settings}));
     gateways_.back()->Start();
   }
@@ -107,10 +109,47 @@
   auto& group = service == kPlain ? plain_ : engines_;
   group.push_back(
       std::make_unique<endpoint_emulator>(loop_, std::move(options), record_, engines_by_address_));
+  for (std::size_t i = 0; i < options_.partitionable_gateways; ++i) {
+    group.back()->AddEntrance();
+    if (cut_off_.contains(i)) {
+      group.back()->SetEntranceOpen(i, false);
+    }
+  }
   group.back()->on_crash = [this, id = group.back()->id()] { OnEngineCrashed(id); };
   PublishEndpoint(*group.back(), service, /*leaving=*/false);
 }
 
+std::string fleet_emulator::StoreAddressOf(std::size_t gateway_index) {
+  if (gateway_index >= options_.partitionable_gateways) {
+    return store_.address();
+  }
+  return store_.AddView([this, gateway_index](const std::string& table, std::string value) {
+    nlohmann::json entry = nlohmann::json::parse(value, nullptr, /*allow_exceptions=*/false);
+    const auto known = entry.is_object() && entry.contains("address")
+                           ? engines_by_address_.find(entry["address"])
+                           : engines_by_address_.end();
+    if (table != "servers" || known == engines_by_address_.end()) {
+      return value;
+    }
+    entry["address"] = known->second->EntranceAddress(gateway_index);
+    return entry.dump();
+  });
+}
+
+void fleet_emulator::SetCutOff(std::size_t gateway_index, bool is_cut_off) {
+  TARRAGON_INVARIANT(cut_off_.contains(gateway_index) != is_cut_off, "the gateway is so already");
+  if (is_cut_off) {
+    cut_off_.insert(gateway_index);
+  } else {
+    cut_off_.erase(gateway_index);
+  }
+  for (const auto* group : {&engines_, &plain_}) {
+    std::ranges::for_each(*group, [&](const auto& endpoint) {
+      endpoint->SetEntranceOpen(gateway_index, !is_cut_off);
+    });
+  }
+}
+
 void fleet_emulator::OnEngineCrashed(const std::string& id) {
   const auto crashed = std::ranges::find(engines_, id, &endpoint_emulator::id);
   if (crashed == engines_.end()) {
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,6 +22,8 @@
 
 struct fleet_options {
   std::size_t gateways = 3;
+  /** The first ones have addresses of their own for all endpoints, so that they can be cut off. */
+  std::size_t partitionable_gateways = 0;
   std::size_t engines = 5;
   std::size_t plain_endpoints = 2;
   /** Failure domains over which the endpoints are spread; the gateways use three. */
@@ -95,6 +98,9 @@
   /** Adds an engine; another one stops without notice. */
   void CrashEngine();
 
+  /** Cuts a partitionable gateway off from all endpoints, or ends the cut. */
+  void SetCutOff(std::size_t gateway_index, bool is_cut_off);
+
   void RunFor(std::chrono::milliseconds time);
   /** Runs the loop until `condition` holds. @return false if `timeout` expires first. */
   bool RunUntil(const std::function<bool()>& condition, std::chrono::milliseconds timeout);
@@ -110,6 +116,8 @@
 
  private:
   void AddEndpoint(const std::string& service);
+  /** @return address of the store with the endpoints' addresses that are the gateway's own. */
+  std::string StoreAddressOf(std::size_t gateway_index);
   void PublishEndpoint(const endpoint_emulator& endpoint, const std::string& service, bool leaving);
   std::unique_ptr<endpoint_emulator> RemoveRandomEngine();
   /** The engine's entry stays in the list for a while, as after any crash. */
@@ -128,6 +136,7 @@
   std::vector<std::unique_ptr<endpoint_emulator>> stopped_;
   std::vector<std::shared_ptr<caller>> callers_;
   std::vector<std::unique_ptr<gateway_child>> gateways_;
+  std::set<std::size_t> cut_off_;
   std::string folder_;
   std::string software_version_ = "v1";
   std::uint64_t config_version_ = 0;
--- a/tests/emulator/http_service.cc
+++ b/tests/emulator/http_service.cc
@@ -1,5 +1,6 @@
 #include "emulator/http_service.h"
 
+#include <fcntl.h>
 #include <fmt/format.h>
 
 #include <array>
@@ -162,6 +163,7 @@
       acceptor_(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
       on_request_(std::move(on_request)),
       address_(fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port())) {
+  KeepFromChildren();
   Accept();
 }
 
@@ -183,9 +185,14 @@
   const auto port = static_cast<std::uint16_t>(std::stoi(address_.substr(address_.rfind(':') + 1)));
   const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port);
   acceptor_ = asio::ip::tcp::acceptor(loop_, endpoint);
+  KeepFromChildren();
   Accept();
 }
 
+void http_service::KeepFromChildren() {
+  ::fcntl(acceptor_.native_handle(), F_SETFD, FD_CLOEXEC);
+}
+
 void http_service::Accept() {
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error) {
--- a/tests/emulator/http_service.h
+++ b/tests/emulator/http_service.h
@@ -65,6 +65,8 @@
   class connection;
 
   void Accept();
+  /** Gateways that are started later would inherit the socket and keep it open. */
+  void KeepFromChildren();
 
   asio::io_context& loop_;
   asio::ip::tcp::acceptor acceptor_;
--- a/tests/emulator/store_emulator.cc
+++ b/tests/emulator/store_emulator.cc
@@ -37,7 +37,7 @@
 
 store_emulator::store_emulator(asio::io_context& loop)
     : loop_(loop), service_(loop, [this](const auto& request, const auto& response) {
-        Handle(request, response);
+        Handle(request, response, nullptr);
       }) {}
 
 void store_emulator::Write(const std::string& table, const std::string& key, row value) {
@@ -95,6 +95,15 @@
   }
 }
 
+std::string store_emulator::AddView(row_rewriter rewrite) {
+  view& added = views_.emplace_back(view{.rewrite = std::move(rewrite), .service = {}});
+  added.service = std::make_unique<http_service>(
+      loop_, [this, &added](const auto& request, const auto& response) {
+        Handle(request, response, &added);
+      });
+  return added.service->address();
+}
+
 std::size_t store_emulator::CountDaemons() const {
   const auto found = tables_.find("daemons");
   const auto is_daemon = [](const auto& entry) {
@@ -110,7 +119,9 @@
   return found == tables_.end() ? 0 : found->second.size();
 }
 
-void store_emulator::Handle(const incoming_request& request, const responder_ptr& response) {
+void store_emulator::Handle(const incoming_request& request,
+                            const responder_ptr& response,
+                            const view* seen_by) {
   ++call_count_;
   switch (state_) {
     case store_state::kServing:
@@ -126,9 +137,9 @@
   }
   const std::string path = request.Path();
   if (path == "/tarragondyke/rows-get") {
-    HandleRowsGet(request, response);
+    HandleRowsGet(request, response, seen_by);
   } else if (path == "/tarragondyke/rows-feed") {
-    HandleRowsFeed(request, response);
+    HandleRowsFeed(request, response, seen_by);
   } else if (path == "/tarragondyke/rows-tx") {
     HandleRowsTransaction(request, response);
   } else {
@@ -136,7 +147,9 @@
   }
 }
 
-nlohmann::json store_emulator::MakePage(const std::string& table, const page_filter& filter) const {
+nlohmann::json store_emulator::MakePage(const std::string& table,
+                                        const page_filter& filter,
+                                        const view* seen_by) const {
   nlohmann::json rows = nlohmann::json::array();
   if (const auto found = tables_.find(PartitionName(table, filter.part)); found != tables_.end()) {
     for (const auto& [key, row] : found->second) {
@@ -150,7 +163,8 @@
       if (row.deleted) {
         item["tombstone"] = true;
       } else {
-        item["value"] = platform::EncodeBase64(row.value);
+        item["value"] = platform::EncodeBase64(
+            seen_by != nullptr ? seen_by->rewrite(table, row.value) : row.value);
       }
       rows.push_back(std::move(item));
     }
@@ -161,13 +175,17 @@
           {"now-ms", SteadyMilliseconds()}};
 }
 
-void store_emulator::HandleRowsGet(const incoming_request& request, const responder_ptr& response) {
+void store_emulator::HandleRowsGet(const incoming_request& request,
+                                   const responder_ptr& response,
+                                   const view* seen_by) {
   Respond(response, kStatusOk,
-          MakePage(request.Query("table"), {.part = request.Query("part"),
-                                            .from = request.Query("from"),
-                                            .to = request.Query("to"),
-                                            .after = 0,
-                                            .with_deleted = false})
+          MakePage(request.Query("table"),
+                   {.part = request.Query("part"),
+                    .from = request.Query("from"),
+                    .to = request.Query("to"),
+                    .after = 0,
+                    .with_deleted = false},
+                   seen_by)
               .dump());
 }
 
@@ -176,27 +194,28 @@
 }
 
 void store_emulator::HandleRowsFeed(const incoming_request& request,
-                                    const responder_ptr& response) {
+                                    const responder_ptr& response,
+                                    const view* seen_by) {
   const std::string table = request.Query("table");
   const std::uint64_t after = ParseNumberOrZero(request.Query("after"));
   if (after < oldest_feed_version_ || after > version_) {
     Respond(response, kStatusGone, "{}");
     return;
   }
-  nlohmann::json page = MakePage(table, FeedFilter(after));
+  nlohmann::json page = MakePage(table, FeedFilter(after), seen_by);
   const auto wait = std::chrono::milliseconds(ParseNumberOrZero(request.Query("wait-ms")));
   if (!page["rows"].empty() || wait.count() == 0) {
     Respond(response, kStatusOk, page.dump());
     return;
   }
   auto timeout = std::make_shared<asio::steady_timer>(loop_, wait);
-  waiting_feeds_.push_back({table, after, response, timeout});
+  waiting_feeds_.push_back({seen_by, table, after, response, timeout});
   timeout->async_wait([this, timeout](const asio::error_code& error) {
     const auto expired = std::ranges::find(waiting_feeds_, timeout,
                                            [](const waiting_feed& feed) { return feed.timeout; });
     if (!error && expired != waiting_feeds_.end()) {
       Respond(expired->response, kStatusOk,
-              MakePage(expired->table, FeedFilter(expired->after)).dump());
+              MakePage(expired->table, FeedFilter(expired->after), expired->seen_by).dump());
       waiting_feeds_.erase(expired);
     }
   });
@@ -204,7 +223,7 @@
 
 void store_emulator::AnswerWaitingFeeds() {
   waiting_feeds_.remove_if([this](const waiting_feed& feed) {
-    const nlohmann::json page = MakePage(feed.table, FeedFilter(feed.after));
+    const nlohmann::json page = MakePage(feed.table, FeedFilter(feed.after), feed.seen_by);
     if (state_ != store_state::kServing || page["rows"].empty()) {
       return feed.response->is_closed();
     }
--- a/tests/emulator/store_emulator.h
+++ b/tests/emulator/store_emulator.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -33,6 +34,11 @@
 
   std::string address() const { return service_.address(); }
 
+  /** Changes the value of a row for those who read it through a view. */
+  using row_rewriter = std::function<std::string(const std::string& table, std::string value)>;
+  /** @return `ip:port` at which the store serves with rewritten rows. */
+  std::string AddView(row_rewriter rewrite);
+
   /** Writes a row, in place of the operator or an endpoint. */
   void Put(const std::string& table, const std::string& key, const std::string& value);
   void Remove(const std::string& table, const std::string& key);
@@ -64,7 +70,12 @@
     std::uint64_t version = 0;
     bool deleted = false;
   };
+  struct view {
+    row_rewriter rewrite;
+    std::unique_ptr<http_service> service;
+  };
   struct waiting_feed {
+    const view* seen_by = nullptr;
     std::string table;
     std::uint64_t after = 0;
     responder_ptr response;
@@ -76,9 +87,14 @@
     std::uint64_t version = 1;
   };
 
-  void Handle(const incoming_request& request, const responder_ptr& response);
-  void HandleRowsGet(const incoming_request& request, const responder_ptr& response);
-  void HandleRowsFeed(const incoming_request& request, const responder_ptr& response);
+  /** @param seen_by view through which the request came; null for none. */
+  void Handle(const incoming_request& request, const responder_ptr& response, const view* seen_by);
+  void HandleRowsGet(const incoming_request& request,
+                     const responder_ptr& response,
+                     const view* seen_by);
+  void HandleRowsFeed(const incoming_request& request,
+                      const responder_ptr& response,
+                      const view* seen_by);
   void HandleRowsTransaction(const incoming_request& request, const responder_ptr& response);
   /** Rows of a page: those of the default partition unless a read names another one. */
   struct page_filter {
@@ -90,7 +106,9 @@
     bool with_deleted = false;
   };
   static page_filter FeedFilter(std::uint64_t after);
-  nlohmann::json MakePage(const std::string& table, const page_filter& filter) const;
+  nlohmann::json MakePage(const std::string& table,
+                          const page_filter& filter,
+                          const view* seen_by) const;
   void Respond(const responder_ptr& response, int status, std::string_view body) const;
   /** Writes the rows of a table that differ from the restored ones. */
   void WriteAgain(const std::string& table, const std::map<std::string, row>& lost);
@@ -106,6 +124,7 @@
   std::uint64_t oldest_feed_version_ = 0;
   store_state state_ = store_state::kServing;
   std::list<waiting_feed> waiting_feeds_;
+  std::list<view> views_;
   http_service service_;
 };
 
