Serve through other daemons while this one reaches no endpoint

Cause: a request was served only over connections of the daemon that had it, so that a daemon without a path could only refuse. Class: one daemon's network path is a single point of failure for the callers that the platform gives it.

It asks other daemons for tunnels on their relay port (connection_attempt, tunnel_server): they connect to the endpoint, by its id, and pass bytes on. Who serves the request, with what headers and after which failures, is still decided by the daemon that has it. Resets of established connections count as failures, so that streams whose copies are elsewhere go on; a false alarm ends with the first probe.

Ruled out: statements of daemons that are cut off do not keep the others from serving; cooldowns end each second and change nothing, as each connection fails.

--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -36,6 +36,7 @@
 namespace tarragon::gateway {
 
 class origin_finder;
+class path_monitor;
 class request_handler;
 
 /** A connection that can be told to give up what it holds. */
@@ -137,6 +138,8 @@
   routing::stream_origins origins;
   /** Null without a store: then only this daemon's own streams can be taken up. */
   origin_finder* origin_lookup = nullptr;
+  /** Null without peers: endpoints are then only reached directly. */
+  path_monitor* paths = nullptr;
   std::mt19937_64 random;
   /** Bytes of responses that are being received and are not relayed yet. */
   std::size_t buffered_response_bytes = 0;
@@ -151,6 +154,8 @@
   time_point exit_at;
   /** Requests that have no final response yet. */
   std::unordered_set<request_handler*> open_requests;
+  /** Connections that this daemon passes on for others. */
+  std::size_t open_tunnels = 0;
   /** Caller connections with response bytes that the kernel has not taken yet. */
   std::size_t unsent_connections = 0;
   memory_budget memory;
--- a/include/tarragon/gateway/http_exchange.h
+++ b/include/tarragon/gateway/http_exchange.h
@@ -4,14 +4,13 @@
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include "tarragon/gateway/connection_attempt.h"
 #include "tarragon/http/message_reader.h"
 
 namespace tarragon::gateway {
@@ -46,11 +45,11 @@
 class http_exchange final : public http::message_listener,
                             public std::enable_shared_from_this<http_exchange> {
  public:
-  /** Connecting within a region takes 10 ms, or a second if a packet is lost. */
-  static constexpr std::chrono::milliseconds kConnectTimeout{400};
-
-  /** @param listener must stay valid until the end of the exchange or `Cancel`. */
-  http_exchange(asio::io_context& loop, exchange_listener& listener);
+  /**
+   * @param listener must stay valid until the end of the exchange or `Cancel`.
+   * @param paths null to connect only directly.
+   */
+  http_exchange(asio::io_context& loop, exchange_listener& listener, path_monitor* paths = nullptr);
   ~http_exchange() override;
 
   /**
@@ -70,6 +69,7 @@
   void OnBody(std::string_view bytes) override;
   void OnMessageEnd() override;
 
+  void OnConnectResult(connect_result result);
   void Send();
   void Read();
   void Consume(std::string_view bytes);
@@ -80,12 +80,11 @@
   static constexpr std::size_t kMaxHeaderBytes = std::size_t{64} << 10;
 
   asio::ip::tcp::socket socket_;
-  asio::steady_timer connect_timer_;
+  std::shared_ptr<connection_attempt> attempt_;
   exchange_listener* listener_;
   http::message_reader reader_;
   std::string request_;
   std::array<char, kReadBytes> buffer_{};
-  bool connected_ = false;
   bool informational_ = false;
   bool ended_ = false;
 };
--- a/include/tarragon/gateway/relay_connection.h
+++ b/include/tarragon/gateway/relay_connection.h
@@ -45,6 +45,9 @@
   /** The connection has been established and not been closed. */
   bool is_open() const { return open_; }
 
+  /** @return the socket, of which nobody reads or writes any more; the connection is closed. */
+  asio::ip::tcp::socket Release();
+
   void Close();
   /** Closes the connection and tells the listener, as after an error. */
   void Fail();
--- a/include/tarragon/gateway/relay_message.h
+++ b/include/tarragon/gateway/relay_message.h
@@ -43,7 +43,12 @@
   std::vector<routing::endpoint_load_report> changes;
 };
 
-using relay_message = std::variant<relay_subscription, relay_update, relay_loads>;
+/** Only message of a daemon that wants the connection to become one to an endpoint. */
+struct tunnel_request {
+  std::string endpoint_id;
+};
+
+using relay_message = std::variant<relay_subscription, relay_update, relay_loads, tunnel_request>;
 
 /** Bytes of a frame before its payload: length and checksum. */
 inline constexpr std::size_t kFrameHeaderBytes = 12;
--- a/include/tarragon/gateway/relay_node.h
+++ b/include/tarragon/gateway/relay_node.h
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -52,6 +53,12 @@
   /** Sets the daemons of the fleet. */
   void SetMembers(const std::vector<routing::relay_member>& members);
 
+  /** @param on_request takes over the connections of daemons that want a tunnel. */
+  void SetTunnelListener(
+      std::function<void(asio::ip::tcp::socket, const tunnel_request&)> on_request) {
+    on_tunnel_request_ = std::move(on_request);
+  }
+
   /** The fleet is so large that daemons follow one another. */
   bool is_relayed() const { return selector_.plan().is_relayed; }
 
@@ -90,6 +97,7 @@
   void SetReading(bool reads_store);
   void OnUpdate(relay_update message);
   void OnSubscription(relay_connection& connection, relay_subscription message);
+  void OnTunnelRequest(relay_connection& connection, const tunnel_request& request);
   void PushTo(follower& target, std::size_t table);
   void PushPending(follower& target);
   void ReportRelayedOutage();
@@ -108,6 +116,7 @@
   /** Newest confirmation of each table received over the link. */
   std::vector<std::optional<table_position>> link_positions_;
   bool source_lost_store_ = false;
+  std::function<void(asio::ip::tcp::socket, const tunnel_request&)> on_tunnel_request_;
   std::map<const relay_connection*, follower> followers_;
 };
 
--- a/include/tarragon/gateway/standby_copy.h
+++ b/include/tarragon/gateway/standby_copy.h
@@ -1,7 +1,6 @@
 #ifndef TARRAGON_GATEWAY_STANDBY_COPY_H_
 #define TARRAGON_GATEWAY_STANDBY_COPY_H_
 
-#include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
@@ -9,8 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "tarragon/gateway/gateway_state.h"
 #include "tarragon/gateway/http_exchange.h"
-#include "tarragon/gateway/platform_adapter.h"
 #include "tarragon/routing/copy_planner.h"
 
 namespace tarragon::gateway {
@@ -37,8 +36,7 @@
    * @param copy_call copies the generation, or what is new, from the source to the target.
    * @param listener must stay valid until `OnCopyFailed` or `Cancel`.
    */
-  standby_copy(asio::io_context& loop,
-               const platform_adapter& adapter,
+  standby_copy(gateway_state& gateway,
                std::string source_address,
                service_call copy_call,
                standby_listener& listener);
@@ -69,8 +67,7 @@
   void Fail(routing::copy_failure failure, std::string_view reason);
   void AbandonCall(std::string_view reason);
 
-  asio::io_context& loop_;
-  const platform_adapter& adapter_;
+  gateway_state& gateway_;
   std::string source_address_;
   service_call copy_call_;
   standby_listener* listener_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -32,6 +32,7 @@
 #include "tarragon/gateway/load_gossip.h"
 #include "tarragon/gateway/load_relay.h"
 #include "tarragon/gateway/origin_table.h"
+#include "tarragon/gateway/path_monitor.h"
 #include "tarragon/gateway/quarantine_table.h"
 #include "tarragon/gateway/readiness_log.h"
 #include "tarragon/gateway/relay_node.h"
@@ -40,6 +41,7 @@
 #include "tarragon/gateway/store_connections.h"
 #include "tarragon/gateway/table_replica.h"
 #include "tarragon/gateway/table_watcher.h"
+#include "tarragon/gateway/tunnel_server.h"
 
 namespace tarragon::gateway {
 
@@ -75,12 +77,6 @@
 /** Part of the grace period reserved for closing connections. */
 constexpr std::chrono::milliseconds kExitMargin{300};
 
-watch_options MakeWatchOptions(std::chrono::milliseconds min_interval) {
-  watch_options options;
-  options.min_interval = min_interval;
-  return options;
-}
-
 std::uint64_t MakeRandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) | device();
@@ -134,14 +130,14 @@
                          connections.endpoints,
                          std::string(platform.EndpointTable()),
                          endpoint_replica,
-                         MakeWatchOptions(kEndpointFeedInterval),
+                         watch_options{.min_interval = kEndpointFeedInterval},
                          MakeRandomSeed()),
         daemon_watcher(loop,
                        platform,
                        connections.daemons,
                        std::string(daemon_table::kTable),
                        daemon_replica,
-                       MakeWatchOptions(kDaemonFeedInterval),
+                       watch_options{.min_interval = kDaemonFeedInterval},
                        MakeRandomSeed()),
         loads(shared),
         relay(shared,
@@ -196,6 +192,7 @@
     std::ranges::transform(others, std::back_inserter(addresses), &routing::relay_member::address);
     gossip.SetPeers(addresses);
     relay.SetMembers(others);
+    paths.SetMembers(others, {settings.peer_address, settings.failure_domain});
     gossip.SetCarriesLoads(!relay.is_relayed());
   }
 
@@ -344,7 +341,7 @@
   /** @return whether the process has nothing left to do for its callers. */
   bool IsIdle() const {
     return shared.open_requests.empty() && shared.unsent_connections == 0 &&
-           time.Now() >= drain_started + kLoadBalancerRemovalTime;
+           shared.open_tunnels == 0 && time.Now() >= drain_started + kLoadBalancerRemovalTime;
   }
 
   void ExitIfIdle() {
@@ -404,6 +401,8 @@
   load_gossip gossip;
   quarantine_table quarantine;
   origin_table origins{loop, shared, connections.origin_writes, connections.origin_reads};
+  path_monitor paths{shared};
+  tunnel_server tunnels{shared, paths};
   asio::signal_set signals;
   asio::steady_timer housekeeping_timer;
   asio::steady_timer exit_timer;
@@ -456,6 +455,10 @@
   if (!settings.peer_address.empty()) {
     self.shared.origin_lookup = &self.origins;
     self.shared.on_origins = [&self] { self.origins.Update(); };
+    self.shared.paths = &self.paths;
+    self.relay.SetTunnelListener([&self](asio::ip::tcp::socket daemon, const auto& request) {
+      self.tunnels.Open(std::move(daemon), request);
+    });
   }
   self.signals.add(SIGTERM, error);
   self.signals.add(SIGINT, error);
--- a/src/gateway/generation_copies.cc
+++ b/src/gateway/generation_copies.cc
@@ -186,8 +186,8 @@
   standby_reservation_ = {
       pick.chosen, {.requests = 1, .tokens = requirements_.size.tokens(), .long_streams = 1}};
   gateway_.used_endpoints.Add(pick.chosen);
-  standby_ = std::make_shared<standby_copy>(gateway_.loop, gateway_.adapter, source_->entry.address,
-                                            *std::move(copy_call), *this);
+  standby_ = std::make_shared<standby_copy>(gateway_, source_->entry.address, *std::move(copy_call),
+                                            *this);
   gateway_.log.LogRequest("standby_started", {{"request", request_id_},
                                               {"from", source_->entry.id},
                                               {"to", standby_target_},
--- a/src/gateway/http_exchange.cc
+++ b/src/gateway/http_exchange.cc
@@ -2,14 +2,15 @@
 
 #include <asio/write.hpp>
 #include <utility>
-
-#include "tarragon/gateway/socket_options.h"
+#include <variant>
 
 namespace tarragon::gateway {
 
-http_exchange::http_exchange(asio::io_context& loop, exchange_listener& listener)
+http_exchange::http_exchange(asio::io_context& loop,
+                             exchange_listener& listener,
+                             path_monitor* paths)
     : socket_(loop),
-      connect_timer_(loop),
+      attempt_(std::make_shared<connection_attempt>(loop, paths)),
       listener_(&listener),
       reader_(http::message_kind::kResponse, *this, kMaxHeaderBytes) {}
 
@@ -20,43 +21,29 @@
   if (no_response_body) {
     reader_.ExpectNoBody();
   }
-  const auto target = ParseAddress(address);
-  asio::error_code error;
-  if (target) {
-    socket_.open(target->protocol(), error);
+  attempt_->Start(address, [self = shared_from_this()](connect_result result) {
+    self->OnConnectResult(std::move(result));
+  });
+}
+
+void http_exchange::OnConnectResult(connect_result result) {
+  if (listener_ == nullptr) {
+    return;
   }
-  if (!target || error) {
-    asio::post(socket_.get_executor(),
-               [self = shared_from_this()] { self->Fail(exchange_error::kConnectFailed); });
+  if (auto* const socket = std::get_if<asio::ip::tcp::socket>(&result)) {
+    socket_ = std::move(*socket);
+    Send();
+    Read();
     return;
   }
-  SetConnectionOptions(socket_);
-  connect_timer_.expires_after(kConnectTimeout);
-  connect_timer_.async_wait([self = shared_from_this()](const asio::error_code& code) {
-    // After a pause of the process, this handler may have been queued before the cancellation.
-    if (!code && !self->connected_) {
-      self->Fail(exchange_error::kConnectFailed);
-    }
-  });
-  socket_.async_connect(*target, [self = shared_from_this()](const asio::error_code& code) {
-    if (self->listener_ == nullptr) {
-      return;
-    }
-    self->connect_timer_.cancel();
-    if (code) {
-      self->Fail(code == asio::error::connection_refused ? exchange_error::kRefused
-                                                         : exchange_error::kConnectFailed);
-      return;
-    }
-    self->connected_ = true;
-    self->Send();
-    self->Read();
-  });
+  Fail(std::get<connect_failure>(result) == connect_failure::kRefused
+           ? exchange_error::kRefused
+           : exchange_error::kConnectFailed);
 }
 
 void http_exchange::Cancel() {
   listener_ = nullptr;
-  connect_timer_.cancel();
+  attempt_->Cancel();
   asio::error_code ignored;
   socket_.close(ignored);
 }
@@ -112,6 +99,8 @@
 void http_exchange::OnClosed(bool by_end_of_stream) {
   if (by_end_of_stream) {
     reader_.Finish();
+  } else {
+    attempt_->ReportReset();
   }
   if (listener_ != nullptr && !ended_) {
     Fail(exchange_error::kLost);
--- a/src/gateway/relay_connection.cc
+++ b/src/gateway/relay_connection.cc
@@ -97,6 +97,12 @@
                     });
 }
 
+asio::ip::tcp::socket relay_connection::Release() {
+  asio::ip::tcp::socket released = std::move(socket_);
+  Close();
+  return released;
+}
+
 void relay_connection::Fail() {
   relay_connection_listener* const listener = listener_;
   Close();
--- a/src/gateway/relay_message.cc
+++ b/src/gateway/relay_message.cc
@@ -42,6 +42,11 @@
   archive(message.changes);
 }
 
+template <class Archive>
+void serialize(Archive& archive, tunnel_request& message) {
+  archive(message.endpoint_id);
+}
+
 namespace {
 
 /** Checksum seed; must change with the message format. */
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -245,6 +245,9 @@
       }
     }
     void operator()(const relay_loads& loads) const { node.loads_.OnLoads(connection, loads); }
+    void operator()(const tunnel_request& request) const {
+      node.OnTunnelRequest(connection, request);
+    }
   };
   std::visit(visitor{*this, connection}, std::move(message));
 }
@@ -314,6 +317,16 @@
   PushPending(known);
 }
 
+void relay_node::OnTunnelRequest(relay_connection& connection, const tunnel_request& request) {
+  if (followers_.erase(&connection) == 0) {
+    return;
+  }
+  asio::ip::tcp::socket daemon = connection.Release();
+  if (on_tunnel_request_) {
+    on_tunnel_request_(std::move(daemon), request);
+  }
+}
+
 void relay_node::OnReplicaChanged(std::size_t table) {
   for (follower& known : followers_ | std::views::values) {
     if (!known.sent.empty()) {
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -298,7 +298,7 @@
   if (admitted_.route->kind == routing::repeat_kind::kStream) {
     added.backup_address = copies_->BeginSend(target, MakePickRequest());
   }
-  exchange_ = std::make_shared<http_exchange>(gateway_.loop, *this);
+  exchange_ = std::make_shared<http_exchange>(gateway_.loop, *this, gateway_.paths);
   exchange_->Start(target->entry.address,
                    BuildEndpointRequest(gateway_.adapter.names(), request_, added),
                    request_.head.method == "HEAD");
--- a/src/gateway/standby_copy.cc
+++ b/src/gateway/standby_copy.cc
@@ -35,11 +35,11 @@
 class fire_and_forget_call final : public exchange_listener,
                                    public std::enable_shared_from_this<fire_and_forget_call> {
  public:
-  static void Start(asio::io_context& loop, const std::string& address, std::string request) {
+  static void Start(gateway_state& gateway, const std::string& address, std::string request) {
     auto call = std::make_shared<fire_and_forget_call>();
     call->self_ = call;
-    call->exchange_ = std::make_shared<http_exchange>(loop, *call);
-    call->timer_.emplace(loop, kFreeTimeout);
+    call->exchange_ = std::make_shared<http_exchange>(gateway.loop, *call, gateway.paths);
+    call->timer_.emplace(gateway.loop, kFreeTimeout);
     call->timer_->async_wait([call](const asio::error_code& error) {
       if (!error) {
         call->End();
@@ -76,18 +76,16 @@
   return request + "\r\n" + call.body;
 }
 
-standby_copy::standby_copy(asio::io_context& loop,
-                           const platform_adapter& adapter,
+standby_copy::standby_copy(gateway_state& gateway,
                            std::string source_address,
                            service_call copy_call,
                            standby_listener& listener)
-    : loop_(loop),
-      adapter_(adapter),
+    : gateway_(gateway),
       source_address_(std::move(source_address)),
       copy_call_(std::move(copy_call)),
       listener_(&listener),
-      timer_(loop),
-      call_timer_(loop) {}
+      timer_(gateway.loop),
+      call_timer_(gateway.loop) {}
 
 void standby_copy::Start() {
   Update();
@@ -107,8 +105,8 @@
   Cancel();
   if (!handle_.empty()) {
     fire_and_forget_call::Start(
-        loop_, source_address_,
-        BuildEngineRequest(adapter_.FreeKvCopyCall(handle_), source_address_));
+        gateway_, source_address_,
+        BuildEngineRequest(gateway_.adapter.FreeKvCopyCall(handle_), source_address_));
   }
 }
 
@@ -121,7 +119,7 @@
       self->AbandonCall("the engine does not answer");
     }
   });
-  exchange_ = std::make_shared<http_exchange>(loop_, *this);
+  exchange_ = std::make_shared<http_exchange>(gateway_.loop, *this, gateway_.paths);
   exchange_->Start(source_address_, BuildEngineRequest(copy_call_, source_address_),
                    /*no_response_body=*/false);
 }
@@ -152,7 +150,7 @@
   call_timer_.cancel();
   exchange_->Cancel();
   exchange_.reset();
-  const decode_result<kv_copy> copy = adapter_.DecodeKvCopy(body_);
+  const decode_result<kv_copy> copy = gateway_.adapter.DecodeKvCopy(body_);
   if (status_ != kOk || !copy) {
     Fail(FailureOf(status_), fmt::format("engine returned status {} or no readable copy", status_));
     return;
--- a/tests/gateway/http_exchange_test.cc
+++ b/tests/gateway/http_exchange_test.cc
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPastConnectTimeout =
-    http_exchange::kConnectTimeout + std::chrono::milliseconds(50);
+    connection_attempt::kConnectTimeout + std::chrono::milliseconds(50);
 
 class recording_exchange_listener final : public exchange_listener {
  public:
