Send brittle endpoints nothing beyond their capacity

Requests of plain services were sent beyond an endpoint's slots, to wait in its queue, so that a queue that has become shorter turned many away.

BrittleEndpointGetsNoRequestBeyondItsCapacity failed before (all nine requests were sent to six slots).

--- a/include/tarragon/gateway/platform_adapter.h
+++ b/include/tarragon/gateway/platform_adapter.h
@@ -163,6 +163,12 @@
   /** @return requests per second that the endpoint takes from all daemons; empty if not limited. */
   virtual std::optional<double> ReadRateLimit(const http::header_list& headers) const = 0;
 
+  /**
+   * @return number of requests that the endpoint may turn away in a second before it fails; empty
+   *     if it does not state that it is about to.
+   */
+  virtual std::optional<double> ReadBrittleness(const http::header_list& headers) const = 0;
+
   virtual leaving_statement ReadLeaving(const http::header_list& headers) const = 0;
   /** Reads the headers of a response that turns a request away. */
   virtual pause_statement ReadPause(const http::header_list& headers) const = 0;
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -104,6 +104,8 @@
   store_version row_version;
   /** No new requests until then: end of the cooldown after a failed connect, silence or decline. */
   time_point cooldown_until;
+  /** It fails if it turns many requests away, so that it gets none beyond its capacity. */
+  bool is_brittle = false;
   /** Consecutive failures; a success resets the count. */
   std::uint32_t consecutive_failures = 0;
   slowness_tracker slowness;
--- a/src/gateway/endpoint_statements.cc
+++ b/src/gateway/endpoint_statements.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <optional>
+#include <utility>
 
 namespace tarragon::gateway {
 
@@ -34,6 +35,24 @@
   }
 }
 
+void RecordBrittleness(gateway_state& gateway,
+                       routing::endpoint& target,
+                       const http::message_head& head,
+                       std::string_view request_id) {
+  const std::optional<double> per_second = gateway.adapter.ReadBrittleness(head.headers);
+  // Only the endpoint itself can say that it is no longer brittle, not a proxy before it.
+  if (!per_second && !head.headers.Find(gateway.adapter.names().signature)) {
+    return;
+  }
+  if (std::exchange(target.is_brittle, per_second.has_value()) != per_second.has_value()) {
+    gateway.log.LogRequest(
+        "endpoint_brittle",
+        {{"endpoint", target.entry.id},
+         {"per_second", per_second ? fmt::format("{:.3f}", *per_second) : "none"},
+         {"request", request_id}});
+  }
+}
+
 void RecordLeaving(gateway_state& gateway,
                    const routing::endpoint_ptr& target,
                    const http::message_head& head,
@@ -91,6 +110,7 @@
     target->slowness.Record(gateway.time.Now(), load->slowness);
   }
   RecordRateLimit(gateway, *target, head, request_id);
+  RecordBrittleness(gateway, *target, head, request_id);
   RecordPause(gateway, *target, head, request_id);
   RecordLeaving(gateway, target, head, request_id);
 }
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -232,7 +232,8 @@
     return;
   }
   // A stream that has begun goes on at once, as its caller waits for the next event.
-  if (!pick.has_capacity && wanted.engine != nullptr && !response_started_) {
+  const bool needs_capacity = wanted.engine != nullptr || pick.chosen->is_brittle;
+  if (!pick.has_capacity && needs_capacity && !response_started_) {
     WaitForCapacity();
     return;
   }
--- a/tests/gateway/endpoint_statements_test.cc
+++ b/tests/gateway/endpoint_statements_test.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "gateway/request_handler_fixture.h"
 
@@ -55,6 +56,28 @@
   handler->OnCallerGone();
 }
 
+// Guards against endpoints that fail because they have to turn away what they have no room for.
+TEST_F(endpoint_statements_test, BrittleEndpointGetsNoRequestBeyondItsCapacity) {
+  constexpr std::size_t kSlots = 6;
+  std::size_t runs = 0;
+  scripted_endpoint endpoint(loop, [&](scripted_connection& connection) {
+    if (++runs == 1) {
+      connection.Send(
+          MakeResponse("200 OK", "fine", "Response-Signature: s\r\nServer-Brittle: 5\r\n"));
+    }
+  });
+  ListEndpoint("e1", "calls", endpoint.address());
+  Call();
+  EXPECT_TRUE(gateway.endpoints.Find("e1")->is_brittle);
+  std::vector<std::shared_ptr<request_handler>> open;
+  std::vector<recording_response_writer> answers(kSlots + 3);
+  std::ranges::for_each(
+      answers, [&](auto& answer) { open.push_back(Start("POST", "/unsafe/1", "b", {}, &answer)); });
+  EXPECT_TRUE(RunUntil([&] { return runs == 1 + kSlots; }));
+  EXPECT_FALSE(RunFor(std::chrono::milliseconds(200), [&] { return runs > 1 + kSlots; }));
+  std::ranges::for_each(open, [](const auto& handler) { handler->OnCallerGone(); });
+}
+
 // Guards against taking an endpoint out of use because of a value that means nothing.
 TEST_F(endpoint_statements_test, OtherValuesDoNotCount) {
   scripted_endpoint endpoint(loop, Answer("200 OK", "Server-Leaving: 0\r\nRetry-After: 9\r\n"));
