Let take-ups wait for a version that an old list of endpoints lacks

A daemon that was out of step while a version joined reads from the store that a stream began at it, and then refused the take-up as stream_version_gone, with 30 s until the next try, although the version serves: its own list was older than the version. Only a list that is at most 2.6 s old can tell that a version is gone.

TakeUpWaitsForAVersionThatAnOldListLacks failed before.

The origin is read from the store, and a daemon that cannot read it refuses. DaemonThatStoodStillGoesOnWithStreamsOfANewVersion stops a process while a version joins and passes without this change too.

--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <span>
@@ -161,6 +162,8 @@
   memory_budget memory;
   /** Maximum number of headers of a request; 0 for as many as its bytes allow. */
   std::size_t max_header_lines = 0;
+  /** Age of the list of endpoints; empty before it has been read. Null if it is always current. */
+  std::function<std::optional<duration>()> endpoint_list_age;
   /** Called after a request has been sent to an endpoint. */
   std::function<void()> on_request_sent;
   /** Called after this daemon has learned something about an endpoint that others should know. */
--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -69,7 +69,9 @@
   bool MayBeginAt(const routing::endpoint& target);
   void Dispatch();
   /** Waits for an endpoint that accepts work, or refuses the request. */
-  void WaitForEndpoint(const routing::pick_result& pick);
+  void WaitForEndpoint(routing::pick_result pick);
+  /** @return whether a version that the list lacks is gone, and not only unknown to this daemon. */
+  bool IsListCurrent() const;
   /** Waits for an engine with capacity, or refuses the request. */
   void WaitForCapacity();
   /** Waits for an endpoint that takes one more request by its limit, or refuses the request. */
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -171,6 +171,7 @@
       gossip.ScheduleReport();
       loads.ScheduleExchange();
     };
+    shared.endpoint_list_age = [this] { return endpoint_replica.Age(); };
     shared.on_evidence = [this] { gossip.ScheduleEvidence(); };
     shared.on_store_restored = [this] {
       quarantine.SaveAgain();
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -314,11 +314,13 @@
       [self = shared_from_this(), retry_timer](const asio::error_code&) { self->Dispatch(); });
 }
 
-void request_handler::WaitForEndpoint(const routing::pick_result& pick) {
-  if (pick.is_version_gone) {
+void request_handler::WaitForEndpoint(routing::pick_result pick) {
+  if (pick.is_version_gone && IsListCurrent()) {
     FailRequest("stream_version_gone", kBadGateway, kLostStreamRetryAfter);
     return;
   }
+  // A list that is not current says nothing of a version that it lacks.
+  pick.all_leave = pick.all_leave && !pick.is_version_gone;
   const std::string_view pause_reason =
       pick.time_to_end_of_pause ? "endpoints_pause" : "no_endpoint";
   ExecuteWait(DecideWithoutEndpoint(pick, DescribeWait(), RandomPoint()),
@@ -326,6 +328,13 @@
               "tarragon_gateway_endpoint_waits_total");
 }
 
+bool request_handler::IsListCurrent() const {
+  // Readers of the store confirm the list every 2.1 s, followers more often.
+  constexpr std::chrono::milliseconds kMaxAge{2600};
+  return !gateway_.endpoint_list_age ||
+         gateway_.endpoint_list_age().value_or(duration::max()) <= kMaxAge;
+}
+
 routing::waiting_request request_handler::DescribeWait() const {
   routing::waiting_request wait{.age = Age(),
                                 .latency_objective = admitted_.route->latency_objective,
--- a/tests/emulator/software_version_test.cc
+++ b/tests/emulator/software_version_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <memory>
 #include <string>
 #include <vector>
@@ -135,6 +136,27 @@
   }
 }
 
+// Guards against a daemon that was out of step while a version joined, and that goes on with its
+// streams at another version or takes the new one for gone.
+TEST_F(software_version_test, DaemonThatStoodStillGoesOnWithStreamsOfANewVersion) {
+  fleet.gateway(1).SendSignal(SIGSTOP);
+  fleet.SetSoftwareVersion("v3");
+  for (std::size_t i = 0; i < kNewEngines; ++i) {
+    newest = fleet.AddEngine();
+  }
+  ASSERT_TRUE(fleet.RunUntil(
+      [&] { return fleet.FindInLogs("endpoint_listed endpoint=" + newest).size() == 2; },
+      kTimeout));
+  fleet.RunFor(milliseconds(4000));
+  const stream_list streams = BeginStreams(call_kind::kTag, 24, 0);
+  fleet.RunFor(milliseconds(100));
+  fleet.gateway(0).Kill();
+  fleet.gateway(1).SendSignal(SIGCONT);
+  const stream_list taken_up = TakeUp(streams, 1);
+  Finish();
+  EXPECT_GE(CountServed(taken_up), taken_up.size() * 3 / 4);
+}
+
 // Guards against a take-up that is sent to any version because nobody knows the stream.
 TEST_F(software_version_test, UnknownStreamIsRefused) {
   const std::shared_ptr<caller> sent = fleet.MakeRequest(call_kind::kTag, kEvents);
--- a/tests/gateway/resumed_stream_test.cc
+++ b/tests/gateway/resumed_stream_test.cc
@@ -3,8 +3,10 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gateway/request_handler_fixture.h"
 
@@ -89,5 +91,36 @@
   EXPECT_EQ(response.body, EventsText(1, 2) + comment + EventsText(3, 3));
 }
 
+// Guards against a daemon that is out of step and takes a stream's version for gone.
+TEST_F(resumed_stream_test, TakeUpWaitsForAVersionThatAnOldListLacks) {
+  constexpr std::string_view kBroken = "fedcba9876543210";
+  duration list_age = std::chrono::seconds(4);
+  gateway.endpoint_list_age = [&] { return std::optional(list_age); };
+  scripted_endpoint old_engine(loop, [](auto&) {});
+  scripted_endpoint new_engine(
+      loop, [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(3) + std::string(kLastChunk)); });
+  ListEndpoint("e1", "engines", old_engine.address());
+  gateway.origins.Record({routing::MakeStreamKey("account", kBroken), {"engines", "v2"}},
+                         time.Now() + std::chrono::seconds(10), /*for_store=*/false);
+  const std::vector<http::header> take_up = {{"Last-Event-Id", "2"},
+                                             {"Resumes", std::string(kBroken)}};
+  handler = Start("POST", "/short/1", "b", take_up);
+  EXPECT_FALSE(RunFor(std::chrono::milliseconds(50), [&] { return response.done(); }));
+  routing::endpoint_entry entry = gateway.endpoints.Find("e1")->entry;
+  entry.id = "e2";
+  entry.address = new_engine.address();
+  entry.software_version = "v2";
+  gateway.endpoints.Put(time.Now(), ++row_version, entry);
+  EXPECT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_EQ(response.body, EventsText(3, 3));
+  EXPECT_TRUE(old_engine.connections.empty());
+
+  gateway.endpoints.Remove(time.Now(), ++row_version, "e2");
+  list_age = duration::zero();
+  response = {};
+  handler = Start("POST", "/short/1", "b", take_up);
+  EXPECT_EQ(response.status, 503);
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
