--- a/include/tarragon/gateway/path_monitor.h
+++ b/include/tarragon/gateway/path_monitor.h
@@ -3,6 +3,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,8 +21,8 @@
 namespace tarragon::gateway {
 
 /**
- * Knows whether this daemon reaches the endpoints and, while it does not, through which daemons it
- * does. Probes the direct path in that time, so that the requests need not.
+ * Knows whether this daemon reaches the endpoints of each service and, while it does not, through
+ * which daemons it does. Probes the direct path in that time, so that the requests need not.
  */
 class path_monitor final {
  public:
@@ -31,10 +32,11 @@
                   const routing::relay_member& self);
 
   time_point Now() const { return gateway_.time.Now(); }
-  bool is_cut() const { return paths_.is_cut(); }
+  /** @return whether no endpoint of the service that has this address can be reached directly. */
+  bool IsCutOff(const std::string& address) const;
 
   /** @param started_at start of the direct attempt that has succeeded. */
-  void OnConnected(time_point started_at);
+  void OnConnected(const std::string& address, time_point started_at);
   void OnConnectFailed(const std::string& address);
 
   /** @return the request for a tunnel; empty if no endpoint with the address is listed. */
@@ -49,17 +51,29 @@
   /** Probes cost the endpoints connections; a path is back long before users notice. */
   static constexpr std::chrono::milliseconds kProbeInterval{500};
 
-  void Probe();
-  void ScheduleProbe();
+  /** The path to the endpoints of one service. */
+  struct service_path {
+    explicit service_path(asio::io_context& loop) : probe_timer(loop) {}
+
+    routing::endpoint_paths state;
+    asio::steady_timer probe_timer;
+    std::shared_ptr<connection_attempt> probe;
+    time_point cut_at;
+  };
+
+  /** @return null if no endpoint with the address is listed. */
+  routing::endpoint_ptr FindListed(const std::string& address) const;
+  std::string ServiceOf(const std::string& address) const;
+  void Probe(const std::string& service, service_path& path);
+  void ScheduleProbe(const std::string& service, service_path& path);
   /** @return address of an endpoint that has not failed, if any; else of any one. */
-  std::optional<std::string> ChooseProbed();
+  std::optional<std::string> ChooseProbed(const std::string& service, const service_path& path);
+  void CountCutOff() const;
 
   gateway_state& gateway_;
-  routing::endpoint_paths paths_;
+  /** Services of which a connection has ever failed. */
+  std::map<std::string, service_path> paths_;
   routing::tunnel_peers peers_;
-  asio::steady_timer probe_timer_;
-  std::shared_ptr<connection_attempt> probe_;
-  time_point cut_at_;
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/routing/endpoint_paths.h
+++ b/include/tarragon/routing/endpoint_paths.h
@@ -12,15 +12,15 @@
 namespace tarragon::routing {
 
 /**
- * Tells an endpoint that does not answer from a network that reaches no endpoint, by what the
- * daemon's own connection attempts show. Only new connections count: established ones may go on
- * while the network rejects new ones.
+ * Tells an endpoint that does not answer from a network that reaches no endpoint of a service, by
+ * what the daemon's own connection attempts show. Only new connections count: established ones may
+ * go on while the network rejects new ones.
  */
 class endpoint_paths final {
  public:
   /**
    * A connection attempt has failed, or an established connection was reset.
-   * @param known_endpoints number of endpoints in the list.
+   * @param known_endpoints number of endpoints of the service.
    * @return whether the daemon has just become cut off.
    */
   bool OnConnectFailed(time_point now, const std::string& address, std::size_t known_endpoints);
@@ -32,7 +32,7 @@
    */
   bool OnConnected(time_point started_at);
 
-  /** No endpoint can be reached directly. */
+  /** No endpoint of the service can be reached directly. */
   bool is_cut() const { return is_cut_; }
   bool HasFailed(const std::string& address) const { return failed_.contains(address); }
 
--- a/src/gateway/connection_attempt.cc
+++ b/src/gateway/connection_attempt.cc
@@ -18,7 +18,7 @@
 void connection_attempt::Start(const std::string& address, handler on_result) {
   address_ = address;
   on_result_ = std::move(on_result);
-  if (!direct_only_ && paths_ != nullptr && paths_->is_cut()) {
+  if (!direct_only_ && paths_ != nullptr && paths_->IsCutOff(address_)) {
     TryNextPeer();
   } else {
     ConnectDirectly();
@@ -110,7 +110,7 @@
   if (!error) {
     is_direct_ = true;
     if (paths_ != nullptr) {
-      paths_->OnConnected(started_at_);
+      paths_->OnConnected(address_, started_at_);
     }
     Finish(std::move(socket_));
     return;
@@ -119,7 +119,7 @@
   if (paths_ != nullptr) {
     paths_->OnConnectFailed(address_);
   }
-  if (!direct_only_ && paths_ != nullptr && paths_->is_cut()) {
+  if (!direct_only_ && paths_ != nullptr && paths_->IsCutOff(address_)) {
     TryNextPeer();
     return;
   }
--- a/src/gateway/path_monitor.cc
+++ b/src/gateway/path_monitor.cc
@@ -3,49 +3,87 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <iterator>
-#include <ranges>
 
 namespace tarragon::gateway {
 
-path_monitor::path_monitor(gateway_state& gateway)
-    : gateway_(gateway), probe_timer_(gateway.loop) {}
+path_monitor::path_monitor(gateway_state& gateway) : gateway_(gateway) {}
 
 void path_monitor::SetMembers(const std::vector<routing::relay_member>& others,
                               const routing::relay_member& self) {
   peers_.SetMembers(others, self);
 }
 
-void path_monitor::OnConnected(time_point started_at) {
-  if (!paths_.OnConnected(started_at)) {
+routing::endpoint_ptr path_monitor::FindListed(const std::string& address) const {
+  const auto& all = gateway_.endpoints.all();
+  const auto listed = std::ranges::find_if(
+      all, [&](const auto& known) { return known.second->entry.address == address; });
+  return listed == all.end() ? nullptr : listed->second;
+}
+
+std::string path_monitor::ServiceOf(const std::string& address) const {
+  const routing::endpoint_ptr listed = FindListed(address);
+  return listed ? listed->entry.service : std::string();
+}
+
+bool path_monitor::IsCutOff(const std::string& address) const {
+  const auto is_cut = [](const auto& path) { return path.second.state.is_cut(); };
+  if (std::ranges::none_of(paths_, is_cut)) {
+    return false;
+  }
+  const auto found = paths_.find(ServiceOf(address));
+  return found != paths_.end() && is_cut(*found);
+}
+
+void path_monitor::CountCutOff() const {
+  gateway_.counters.Gauge("tarragon_gateway_endpoint_path_cut")
+      .Set(std::ranges::count_if(paths_,
+                                 [](const auto& path) { return path.second.state.is_cut(); }));
+}
+
+void path_monitor::OnConnected(const std::string& address, time_point started_at) {
+  if (paths_.empty()) {
+    return;
+  }
+  const std::string service = ServiceOf(address);
+  const auto found = paths_.find(service);
+  if (found == paths_.end() || !found->second.state.OnConnected(started_at)) {
     return;
   }
-  probe_timer_.cancel();
-  gateway_.counters.Gauge("tarragon_gateway_endpoint_path_cut").Set(0);
-  gateway_.log.LogState(
-      "endpoint_path_regained",
-      {{"lost_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(Now() - cut_at_).count()}});
+  found->second.probe_timer.cancel();
+  CountCutOff();
+  gateway_.log.LogState("endpoint_path_regained",
+                        {{"service", service},
+                         {"lost_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                         Now() - found->second.cut_at)
+                                         .count()}});
 }
 
 void path_monitor::OnConnectFailed(const std::string& address) {
-  const bool is_first = paths_.OnConnectFailed(Now(), address, gateway_.endpoints.all().size());
-  paths_.Validate();
+  const std::string service = ServiceOf(address);
+  if (service.empty()) {
+    // An endpoint that is not listed any more says nothing about the others.
+    return;
+  }
+  service_path& path = paths_.try_emplace(service, gateway_.loop).first->second;
+  const bool is_first =
+      path.state.OnConnectFailed(Now(), address, gateway_.endpoints.FindByService(service).size());
+  path.state.Validate();
   if (!is_first) {
     return;
   }
-  cut_at_ = Now();
-  gateway_.counters.Gauge("tarragon_gateway_endpoint_path_cut").Set(1);
-  gateway_.log.LogState("endpoint_path_lost", {{"endpoint", address}});
-  Probe();
+  path.cut_at = Now();
+  CountCutOff();
+  gateway_.log.LogState("endpoint_path_lost", {{"service", service}, {"address", address}});
+  Probe(service, path);
 }
 
-std::optional<std::string> path_monitor::ChooseProbed() {
+std::optional<std::string> path_monitor::ChooseProbed(const std::string& service,
+                                                      const service_path& path) {
   std::vector<std::string> untried;
   std::vector<std::string> all;
-  for (const routing::endpoint_ptr& known : gateway_.endpoints.all() | std::views::values) {
+  for (const routing::endpoint_ptr& known : gateway_.endpoints.FindByService(service)) {
     all.push_back(known->entry.address);
-    if (!paths_.HasFailed(known->entry.address)) {
+    if (!path.state.HasFailed(known->entry.address)) {
       untried.push_back(known->entry.address);
     }
   }
@@ -56,38 +94,33 @@
   return candidates[gateway_.random() % candidates.size()];
 }
 
-void path_monitor::Probe() {
-  const std::optional<std::string> address = ChooseProbed();
+void path_monitor::Probe(const std::string& service, service_path& path) {
+  const std::optional<std::string> address = ChooseProbed(service, path);
   if (!address) {
-    ScheduleProbe();
+    ScheduleProbe(service, path);
     return;
   }
-  probe_ = std::make_shared<connection_attempt>(gateway_.loop, this);
+  path.probe = std::make_shared<connection_attempt>(gateway_.loop, this);
   // The attempt itself records the outcome.
-  probe_->StartDirectly(*address, [this](const connect_result&) {
-    if (is_cut()) {
-      ScheduleProbe();
+  path.probe->StartDirectly(*address, [this, service, &path](const connect_result&) {
+    if (path.state.is_cut()) {
+      ScheduleProbe(service, path);
     }
   });
 }
 
-void path_monitor::ScheduleProbe() {
-  probe_timer_.expires_after(kProbeInterval);
-  probe_timer_.async_wait([this](const asio::error_code& error) {
-    if (!error && is_cut()) {
-      gateway_.RunGuarded("path_probe", [this] { Probe(); });
+void path_monitor::ScheduleProbe(const std::string& service, service_path& path) {
+  path.probe_timer.expires_after(kProbeInterval);
+  path.probe_timer.async_wait([this, service, &path](const asio::error_code& error) {
+    if (!error && path.state.is_cut()) {
+      gateway_.RunGuarded("path_probe", [&] { Probe(service, path); });
     }
   });
 }
 
 std::optional<tunnel_request> path_monitor::MakeRequest(const std::string& address) const {
-  const auto listed =
-      std::ranges::find(gateway_.endpoints.all() | std::views::values, address,
-                        [](const routing::endpoint_ptr& known) { return known->entry.address; });
-  if (listed.base() == gateway_.endpoints.all().end()) {
-    return std::nullopt;
-  }
-  return tunnel_request{(*listed)->entry.id};
+  const routing::endpoint_ptr listed = FindListed(address);
+  return listed ? std::optional(tunnel_request{listed->entry.id}) : std::nullopt;
 }
 
 std::optional<std::string> path_monitor::ChoosePeer() {
--- a/src/gateway/tunnel_server.cc
+++ b/src/gateway/tunnel_server.cc
@@ -39,7 +39,7 @@
     Reply(pending, tunnel_status::kBusy);
   } else if (pending->target == nullptr) {
     Reply(pending, tunnel_status::kUnknownEndpoint);
-  } else if (paths_.is_cut()) {
+  } else if (paths_.IsCutOff(pending->target->entry.address)) {
     Reply(pending, tunnel_status::kNoPath);
   } else {
     ++pending_;
@@ -58,7 +58,7 @@
     Reply(pending, tunnel_status::kOpen);
     return;
   }
-  if (paths_.is_cut()) {
+  if (paths_.IsCutOff(pending->target->entry.address)) {
     Reply(pending, tunnel_status::kNoPath);
     return;
   }
--- a/tests/gateway/tunnel_test.cc
+++ b/tests/gateway/tunnel_test.cc
@@ -74,7 +74,7 @@
   EXPECT_EQ(response.status, 200);
   EXPECT_EQ(response.body, "fine");
   EXPECT_EQ(runs, 1);
-  EXPECT_TRUE(own_paths.is_cut());
+  EXPECT_TRUE(own_paths.IsCutOff(gateway.endpoints.Find("e1")->entry.address));
   EXPECT_TRUE(RunUntil([&] { return other.open_tunnels == 0; }));
 }
 
