--- a/tests/emulator/endpoint_emulator.cc
+++ b/tests/emulator/endpoint_emulator.cc
@@ -50,9 +50,9 @@
 
 void endpoint_emulator::SetEntranceOpen(std::size_t entrance, bool is_open) {
   if (is_open) {
-    entrances_.at(entrance)->Reopen();
+    entrances_.at(entrance)->Resume();
   } else {
-    entrances_.at(entrance)->Close();
+    entrances_.at(entrance)->Suspend();
   }
 }
 
--- a/tests/emulator/http_service.cc
+++ b/tests/emulator/http_service.cc
@@ -181,14 +181,31 @@
   }
 }
 
-void http_service::Reopen() {
+asio::ip::tcp::endpoint http_service::LocalEndpoint() const {
   const auto port = static_cast<std::uint16_t>(std::stoi(address_.substr(address_.rfind(':') + 1)));
-  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port);
-  acceptor_ = asio::ip::tcp::acceptor(loop_, endpoint);
+  return {asio::ip::address_v4::loopback(), port};
+}
+
+void http_service::Reopen() {
+  acceptor_ = asio::ip::tcp::acceptor(loop_, LocalEndpoint());
   KeepFromChildren();
   Accept();
 }
 
+void http_service::Suspend() {
+  Close();
+  // A bound socket that does not listen refuses connections.
+  acceptor_ = asio::ip::tcp::acceptor(loop_, asio::ip::tcp::v4());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(LocalEndpoint());
+  KeepFromChildren();
+}
+
+void http_service::Resume() {
+  acceptor_.listen();
+  Accept();
+}
+
 void http_service::KeepFromChildren() {
   ::fcntl(acceptor_.native_handle(), F_SETFD, FD_CLOEXEC);
 }
--- a/tests/emulator/http_service.h
+++ b/tests/emulator/http_service.h
@@ -60,6 +60,10 @@
   void Close();
   /** Listens again at the same address. */
   void Reopen();
+  /** Like `Close`, but keeps the port from being used by others. */
+  void Suspend();
+  /** Ends `Suspend`. */
+  void Resume();
 
  private:
   class connection;
@@ -67,6 +71,7 @@
   void Accept();
   /** Gateways that are started later would inherit the socket and keep it open. */
   void KeepFromChildren();
+  asio::ip::tcp::endpoint LocalEndpoint() const;
 
   asio::io_context& loop_;
   asio::ip::tcp::acceptor acceptor_;
--- a/tests/emulator/mixed_versions_run_test.cc
+++ b/tests/emulator/mixed_versions_run_test.cc
@@ -19,6 +19,7 @@
 
 constexpr milliseconds kRoundTime{60};
 constexpr milliseconds kTimeout{25000};
+constexpr std::size_t kPartitionable = 2;
 
 std::vector<std::uint64_t> Seeds() {
   const char* const chosen = std::getenv("TARRAGON_FLEET_SEED");
@@ -52,7 +53,7 @@
   }
 
   void InjectFault() {
-    constexpr std::uint64_t kFaults = 8;
+    constexpr std::uint64_t kFaults = 9;
     gateway_child& victim = fleet.gateway(AnyGateway());
     switch (fleet.random()() % kFaults) {
       case 0:
@@ -79,24 +80,38 @@
         fleet.RunFor(milliseconds(100 + fleet.random()() % 500));
         victim.SendSignal(SIGCONT);
         break;
+      case 7:
+        ToggleCut(fleet.random()() % kPartitionable);
+        break;
       default:
         fleet.ReplaceEngine(milliseconds(200 + fleet.random()() % 800));
         break;
     }
   }
 
+  /** Cuts a gateway off from all endpoints, or ends its cut. */
+  void ToggleCut(std::size_t gateway) {
+    const bool is_cut_off = !cut_off.erase(gateway);
+    if (is_cut_off) {
+      cut_off.insert(gateway);
+    }
+    fleet.SetCutOff(gateway, is_cut_off);
+  }
+
   static fleet_options MakeOptions() {
     fleet_options options;
+    options.partitionable_gateways = kPartitionable;
     options.seed = GetParam();
     return options;
   }
 
   fleet_emulator fleet{MakeOptions()};
   std::set<std::string> taken_up;
+  std::set<std::size_t> cut_off;
 };
 
 // Guards against streams that are joined from two versions by any order of releases, kills of one
-// or all daemons, outages of the store and take-ups.
+// or all daemons, outages of the store, cuts of daemons from the endpoints and take-ups.
 TEST_P(mixed_versions_run, NoStreamHoldsTwoVersions) {
   constexpr int kRounds = 40;
   ASSERT_TRUE(fleet.WaitUntilServing());
@@ -109,6 +124,9 @@
     ASSERT_EQ(fleet.DescribeViolations(), "") << "seed " << GetParam() << ", round " << round;
   }
   fleet.store().SetState(store_state::kServing);
+  while (!cut_off.empty()) {
+    ToggleCut(*cut_off.begin());
+  }
   EXPECT_TRUE(fleet.WaitUntilServing()) << "seed " << GetParam();
   const auto is_done = [](const auto& sent) { return sent->is_done(); };
   EXPECT_TRUE(
