Bring large configurations to all daemons in time

Cause: the configuration is one row of some 300 kB, of which each change sends all to six followers on each level of the tree, 1.4 s a level at 10 Mbit/s. Meanwhile no confirmation passes, so that followers gave their source up after 1.65 to 1.95 s and began again at another one, which was as busy: 1,105 and 1,179 changes of source in 30 s. Class: a timeout that is shorter than the transfer it watches, whose retry adds the load that makes it expire.

- Messages of the relay from 1 kB on are compressed (zlib, fastest level), and an update is encoded once for all followers that need the same one.
- A source that is in the middle of a message and sends is not given up, for up to 3 s with stale rows.
- A daemon passes rows on before it reads them itself.

Each part was not measured by itself.

--- a/include/tarragon/gateway/relay_connection.h
+++ b/include/tarragon/gateway/relay_connection.h
@@ -41,9 +41,14 @@
 
   /** Must not be called while `is_writing`: the caller sends the newest state once it may. */
   void Send(const relay_message& message);
+  /** Same for an encoded message, which may go to several daemons. */
+  void SendFrame(std::string frame);
   bool is_writing() const { return writing_; }
   /** The connection has been established and not been closed. */
   bool is_open() const { return open_; }
+  /** A message has been received in part. */
+  bool has_partial_message() const { return reader_.has_partial_message(); }
+  std::uint64_t received_bytes() const { return received_bytes_; }
 
   /** @return the socket, of which nobody reads or writes any more; the connection is closed. */
   asio::ip::tcp::socket Release();
@@ -66,6 +71,7 @@
   relay_frame_reader reader_;
   std::array<char, 16384> buffer_{};
   std::string pending_;
+  std::uint64_t received_bytes_ = 0;
   bool writing_ = false;
   std::uint64_t write_number_ = 0;
   bool open_ = false;
--- a/include/tarragon/gateway/relay_message.h
+++ b/include/tarragon/gateway/relay_message.h
@@ -67,6 +67,9 @@
    */
   bool Feed(std::string_view bytes, std::vector<relay_message>& messages);
 
+  /** A message has been received in part. */
+  bool has_partial_message() const { return !buffer_.empty(); }
+
  private:
   std::string buffer_;
 };
--- a/include/tarragon/gateway/relay_node.h
+++ b/include/tarragon/gateway/relay_node.h
@@ -71,6 +71,13 @@
   static constexpr std::size_t kMaxFollowers = 80;
 
   /** A daemon that has connected to this one: a follower, or the root of another domain. */
+  /** An update as it was sent last, for followers that need the same one. */
+  struct encoded_update {
+    routing::store_version base;
+    table_position position;
+    bool store_lost = false;
+    std::string frame;
+  };
   struct follower {
     std::shared_ptr<relay_connection> connection;
     std::string vm;
@@ -89,6 +96,8 @@
   void ScheduleTick();
   void Update();
   routing::source_view View() const;
+  /** @return whether the source is in the middle of a message and its bytes arrive. */
+  bool IsReceiving();
   void Reconcile();
   /** Once the store serves one table again, the waits of the other tables have no reason left. */
   void RetryOthers(const table_watcher& regained);
@@ -98,6 +107,7 @@
   void OnUpdate(relay_update message);
   void OnSubscription(relay_connection& connection, relay_subscription message);
   void OnTunnelRequest(relay_connection& connection, const tunnel_request& request);
+  const std::string& EncodeUpdate(std::size_t table, const routing::store_version& base);
   void PushTo(follower& target, std::size_t table);
   void PushPending(follower& target);
   void ReportRelayedOutage();
@@ -118,6 +128,11 @@
   bool source_lost_store_ = false;
   std::function<void(asio::ip::tcp::socket, const tunnel_request&)> on_tunnel_request_;
   std::map<const relay_connection*, follower> followers_;
+  /** By table; empty before the first update. */
+  std::vector<std::optional<encoded_update>> encoded_;
+  /** Bytes received over the link, and when they were seen to grow last. */
+  std::uint64_t link_bytes_ = 0;
+  time_point link_progress_at_;
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/gateway/table_listener.h
+++ b/include/tarragon/gateway/table_listener.h
@@ -16,6 +16,7 @@
   routing::store_version version;
   /** Time of the confirmation on the store's steady clock. */
   std::chrono::milliseconds store_time{0};
+  bool operator==(const table_position&) const = default;
 };
 
 /** Calls to the store that failed one after another, until one succeeded. */
--- a/include/tarragon/routing/source_selector.h
+++ b/include/tarragon/routing/source_selector.h
@@ -27,6 +27,8 @@
   duration age_per_level = std::chrono::milliseconds(150);
   /** Time from connecting to a source until it must have sent rows that are not stale. */
   duration source_timeout = std::chrono::milliseconds(500);
+  /** Time with stale rows in which a source that is sending is not given up. */
+  duration max_sending_time = std::chrono::milliseconds(3000);
   /** Time with stale rows after which the daemon reads the store besides looking for a source. */
   duration takeover_delay = std::chrono::milliseconds(300);
   /** Time after the start in which a daemon without any rows waits for a source. */
@@ -53,6 +55,8 @@
   std::optional<duration> source_age;
   /** The daemon's own last call to the store has failed. */
   bool store_lost = false;
+  /** The source is sending a message that has not arrived as a whole. */
+  bool source_sends = false;
 };
 
 /**
--- a/src/gateway/relay_connection.cc
+++ b/src/gateway/relay_connection.cc
@@ -59,6 +59,7 @@
 
 bool relay_connection::HandleBytes(std::string_view bytes) {
   std::vector<relay_message> messages;
+  received_bytes_ += bytes.size();
   const bool valid = reader_.Feed(bytes, messages);
   try {
     for (relay_message& message : messages) {
@@ -73,9 +74,13 @@
 }
 
 void relay_connection::Send(const relay_message& message) {
+  SendFrame(EncodeFrame(message));
+}
+
+void relay_connection::SendFrame(std::string frame) {
   TARRAGON_INVARIANT(!writing_, "a message was sent before the last one was written");
   writing_ = true;
-  pending_ = EncodeFrame(message);
+  pending_ = std::move(frame);
   write_timer_.expires_after(kWriteTimeout);
   write_timer_.async_wait(
       [self = weak_from_this(), write = ++write_number_](const asio::error_code& error) {
--- a/src/gateway/relay_message.cc
+++ b/src/gateway/relay_message.cc
@@ -12,6 +12,7 @@
 #include "gateway/checksum.h"
 #include "gateway/load_serialization.h"
 #include "gateway/version_serialization.h"
+#include "tarragon/gateway/compression.h"
 
 namespace tarragon::gateway {
 
@@ -50,8 +51,16 @@
 namespace {
 
 /** Checksum seed; must change with the message format. */
-constexpr std::uint64_t kFormat = 0x74676c75;
+constexpr std::uint64_t kFormat = 0x74676c77;
 constexpr std::size_t kLengthBytes = 4;
+/** In the length field: the payload is compressed. */
+constexpr std::size_t kCompressed = std::size_t{1} << 31U;
+/** Smaller payloads gain less than their compression costs. */
+constexpr std::size_t kMinCompressedPayload = 1024;
+
+std::string Checksum(std::string_view payload, bool is_compressed) {
+  return ChecksumOf(payload, is_compressed ? kFormat + 1 : kFormat);
+}
 
 std::size_t ReadLength(std::string_view bytes) {
   constexpr unsigned kBitsPerByte = 8;
@@ -62,8 +71,8 @@
   return length;
 }
 
-std::optional<relay_message> DecodePayload(std::string_view payload) {
-  std::istringstream stream{std::string(payload)};
+std::optional<relay_message> DecodePayload(std::string payload) {
+  std::istringstream stream{std::move(payload)};
   try {
     cereal::PortableBinaryInputArchive archive(stream);
     relay_message message;
@@ -83,8 +92,13 @@
     cereal::PortableBinaryOutputArchive archive(stream);
     archive(message);
   }
-  const std::string payload = std::move(stream).str();
-  return ToLittleEndian(payload.size(), kLengthBytes) + ChecksumOf(payload, kFormat) + payload;
+  std::string payload = std::move(stream).str();
+  const bool is_compressed = payload.size() >= kMinCompressedPayload;
+  if (is_compressed) {
+    payload = Compress(payload);
+  }
+  return ToLittleEndian(payload.size() | (is_compressed ? kCompressed : 0), kLengthBytes) +
+         Checksum(payload, is_compressed) + payload;
 }
 
 bool relay_frame_reader::Feed(std::string_view bytes, std::vector<relay_message>& messages) {
@@ -92,7 +106,9 @@
   std::string_view rest = buffer_;
   bool valid = true;
   while (valid && rest.size() >= kFrameHeaderBytes) {
-    const std::size_t length = ReadLength(rest);
+    const std::size_t stated = ReadLength(rest);
+    const bool is_compressed = (stated & kCompressed) != 0;
+    const std::size_t length = stated & ~kCompressed;
     if (length > kMaxFramePayload) {
       valid = false;
       break;
@@ -104,8 +120,10 @@
     // cereal allocates whatever size a damaged length field states, so the checksum comes first.
     std::optional<relay_message> message;
     if (rest.substr(kLengthBytes, kFrameHeaderBytes - kLengthBytes) ==
-        ChecksumOf(payload, kFormat)) {
-      message = DecodePayload(payload);
+        Checksum(payload, is_compressed)) {
+      std::optional<std::string> text = is_compressed ? Decompress(payload, kMaxFramePayload)
+                                                      : std::optional(std::string(payload));
+      message = text ? DecodePayload(*std::move(text)) : std::nullopt;
     }
     valid = message.has_value();
     if (valid) {
--- a/src/gateway/relay_node.cc
+++ b/src/gateway/relay_node.cc
@@ -33,7 +33,8 @@
       acceptor_(gateway.loop),
       timer_(gateway.loop),
       accept_timer_(gateway.loop),
-      link_positions_(tables_.size()) {
+      link_positions_(tables_.size()),
+      encoded_(tables_.size()) {
   for (const relayed_table& table : tables_) {
     table.watcher.SetRegainedListener(
         [this, regained = &table.watcher] { RetryOthers(*regained); });
@@ -148,8 +149,19 @@
   return view;
 }
 
+bool relay_node::IsReceiving() {
+  constexpr std::chrono::milliseconds kMaxGap{500};
+  const std::uint64_t bytes = link_ ? link_->received_bytes() : 0;
+  if (std::exchange(link_bytes_, bytes) != bytes) {
+    link_progress_at_ = gateway_.time.Now();
+  }
+  return link_ && link_->has_partial_message() &&
+         gateway_.time.Now() <= link_progress_at_ + kMaxGap;
+}
+
 void relay_node::Update() {
-  const routing::source_view view = View();
+  routing::source_view view = View();
+  view.source_sends = IsReceiving();
   selector_.Update(gateway_.time.Now(), view);
   selector_.Validate();
   if (view.loaded) {
@@ -354,11 +366,22 @@
     // The follower is ahead; it needs nothing until this replica has caught up.
     return;
   }
-  relay_update message{.table = static_cast<std::uint8_t>(table),
-                       .store_lost = replica.is_store_lost() || source_lost_store_,
-                       .update = replica.ChangesSince(target.sent[table])};
+  target.connection->SendFrame(EncodeUpdate(table, target.sent[table]));
   target.sent[table] = replica.position().version;
-  target.connection->Send(message);
+}
+
+const std::string& relay_node::EncodeUpdate(std::size_t table, const routing::store_version& base) {
+  const table_replica& replica = tables_[table].replica;
+  const bool store_lost = replica.is_store_lost() || source_lost_store_;
+  std::optional<encoded_update>& last = encoded_[table];
+  if (!last || last->base != base || last->position != replica.position() ||
+      last->store_lost != store_lost) {
+    last = {.base = base, .position = replica.position(), .store_lost = store_lost, .frame = {}};
+    last->frame = EncodeFrame(relay_update{.table = static_cast<std::uint8_t>(table),
+                                           .store_lost = store_lost,
+                                           .update = replica.ChangesSince(base)});
+  }
+  return last->frame;
 }
 
 void relay_node::OnRelayWritten(relay_connection& connection) {
--- a/src/gateway/table_replica.cc
+++ b/src/gateway/table_replica.cc
@@ -75,8 +75,9 @@
   ApplyRows(rows);
   DropTombstones();
   loaded_ = true;
-  listener_.OnTable(rows, position);
+  // Other daemons need not wait until this one has read the rows.
   on_change_();
+  listener_.OnTable(rows, position);
 }
 
 void table_replica::OnChanges(const std::vector<table_row>& rows, const table_position& position) {
@@ -85,10 +86,10 @@
   }
   const std::vector<table_row> changed = ApplyRows(rows);
   DropTombstones();
+  on_change_();
   if (!changed.empty()) {
     listener_.OnChanges(changed, position);
   }
-  on_change_();
 }
 
 void table_replica::OnStoreLost(std::string_view reason) {
--- a/src/routing/source_selector.cc
+++ b/src/routing/source_selector.cc
@@ -129,10 +129,13 @@
     reads_store_ = plan_.reads_store || follows_alternate();
     return;
   }
-  if (follows_alternate() && view.source_age && !is_source_recent) {
+  // Another source would have to send the same from the beginning.
+  const bool is_sending =
+      source_ && view.source_sends && now < stale_since_.value_or(now) + options_.max_sending_time;
+  if (follows_alternate() && view.source_age && !is_source_recent && !is_sending) {
     GiveUpSource(now, false);
   }
-  if (source_ && now >= source_since_ + options_.source_timeout) {
+  if (source_ && !is_sending && now >= source_since_ + options_.source_timeout) {
     GiveUpSource(now, view.source_age.has_value());
   }
   const bool is_recent = view.loaded && view.age <= StaleAge();
@@ -149,6 +152,9 @@
   }
   const time_point since = stale_since_.value_or(now);
   stale_since_ = since;
+  if (is_sending) {
+    return;
+  }
   const bool waited = view.loaded ? !source_ || now >= since + options_.takeover_delay
                                   : found_old_rows_ || now >= started_at_ + options_.start_patience;
   reads_store_ = reads_store_ || waited;
--- a/tests/gateway/relay_message_test.cc
+++ b/tests/gateway/relay_message_test.cc
@@ -1,12 +1,16 @@
 #include "tarragon/gateway/relay_message.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
+#include "tarragon/gateway/compression.h"
+
 namespace tarragon::gateway {
 namespace {
 
@@ -41,6 +45,37 @@
   RC_ASSERT(update.update.rows[1].deleted && update.update.rows[1].version == 9U);
 }
 
+// Guards against large rows that load slow links for longer than a change may take.
+TEST(RelayMessageTest, LargeConfigurationsAreCompressed) {
+  std::string value;
+  for (int route = 0; route < 1500; ++route) {
+    value += fmt::format(
+        R"({{"host":"h{}.example","prefix":"/p{}/","kind":"safe","timeout-ms":1200,"services":[{{"name":"s","weight":1}}]}},)",
+        route % 37, route);
+  }
+  relay_update update = MakeUpdate();
+  update.update.rows = {{"config", value, 8, false}};
+  const std::string frame = EncodeFrame(update);
+  EXPECT_LT(frame.size(), value.size() / 8);
+  relay_frame_reader reader;
+  std::vector<relay_message> messages;
+  ASSERT_TRUE(reader.Feed(std::string_view(frame).substr(0, frame.size() - 1), messages));
+  EXPECT_TRUE(reader.has_partial_message());
+  ASSERT_TRUE(reader.Feed(std::string_view(frame).substr(frame.size() - 1), messages));
+  EXPECT_FALSE(reader.has_partial_message());
+  ASSERT_EQ(messages.size(), 1U);
+  EXPECT_EQ(std::get<relay_update>(messages[0]).update.rows[0].value, value);
+}
+
+// Guards against a small message that stands for more bytes than the memory holds.
+TEST(RelayMessageTest, CompressedBytesBeyondTheLimitAreRejected) {
+  const std::string text(kMaxFramePayload + 1, 'a');
+  EXPECT_FALSE(Decompress(Compress(text), kMaxFramePayload));
+  EXPECT_EQ(Decompress(Compress(text), text.size()), text);
+  EXPECT_FALSE(Decompress(Compress(text).substr(1), text.size()));
+  EXPECT_FALSE(Decompress(Compress(text) + "more", text.size()));
+}
+
 // Guards against a damaged or foreign message that changes rows, exhausts the memory or ends the
 // process.
 TEST(RelayMessageTest, DamagedFramesAreRejected) {
--- a/tests/routing/source_selector_test.cc
+++ b/tests/routing/source_selector_test.cc
@@ -187,6 +187,33 @@
 
 INSTANTIATE_TEST_SUITE_P(Fleets, source_selector_sizes, testing::Values(8, 64, 195, 390));
 
+// Guards against a source that is given up while it sends a large row: the next one has to send all
+// of it again.
+TEST(SourceSelectorTest, SourceThatSendsIsNotGivenUp) {
+  constexpr time_point kStart{seconds(100)};
+  source_selector selector(kStart, 1);
+  selector.SetPlan(
+      kStart,
+      {.is_relayed = true, .sources = {"a", "b"}, .alternates = {}, .peer_roots = {}, .depth = 1});
+  source_view view{.loaded = true, .age = {}, .source_age = duration::zero()};
+  selector.Update(kStart, view);
+  ASSERT_EQ(selector.source(), "a");
+  const auto update_at = [&](milliseconds at, bool sends) {
+    view.age = at;
+    view.source_age = at;
+    view.source_sends = sends;
+    selector.Update(kStart + at, view);
+  };
+  for (milliseconds at{100}; at < milliseconds(4500); at += milliseconds(100)) {
+    update_at(at, true);
+    EXPECT_EQ(selector.source(), "a") << at.count();
+    EXPECT_FALSE(selector.reads_store()) << at.count();
+  }
+  // It may not send for ever.
+  update_at(milliseconds(5000), true);
+  EXPECT_EQ(selector.source(), "b");
+}
+
 // Guards against any combination of dead, cut off and restarted daemons after which a daemon that
 // reaches the store keeps old rows.
 RC_GTEST_PROP(SourceSelectorTest, EveryDaemonConverges, (std::uint64_t seed)) {
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy-16 curl python3
   libasio-dev libcereal-dev libboost-dev libtomlplusplus-dev libgflags-dev libfmt-dev
-  libcpp-httplib-dev libhttp-parser-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev
+  libcpp-httplib-dev libhttp-parser-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev zlib1g-dev
   libgtest-dev libgmock-dev libbenchmark-dev)
 missing=()
 for package in "${packages[@]}"; do
