--- a/tests/emulator/endpoint_emulator.cc
+++ b/tests/emulator/endpoint_emulator.cc
@@ -185,9 +185,12 @@
     if (run.is_crashing) {
       return false;
     }
-    ++run.events_made;
-    run.response->SendChunk(fmt::format("id: {}\ndata: {} {} {}\n\n", run.events_made, run.request,
-                                        run.events_made, options_.software_version));
+    // A stream may have broken off between its last event and its end.
+    if (run.events_made < run.events_total) {
+      ++run.events_made;
+      run.response->SendChunk(fmt::format("id: {}\ndata: {} {} {}\n\n", run.events_made,
+                                          run.request, run.events_made, options_.software_version));
+    }
     if (const auto backup = engines_.find(run.backup_address); backup != engines_.end()) {
       backup->second->kv_copies_[run.request] = run.events_made;
     }
