--- a/tests/emulator/http_service.cc
+++ b/tests/emulator/http_service.cc
@@ -31,6 +31,11 @@
   return decoded;
 }
 
+/** Gateways that are started later would inherit the socket and keep it open. */
+void KeepFromChildren(int socket) {
+  ::fcntl(socket, F_SETFD, FD_CLOEXEC);
+}
+
 }  // namespace
 
 std::string incoming_request::Header(std::string_view name) const {
@@ -163,7 +168,7 @@
       acceptor_(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
       on_request_(std::move(on_request)),
       address_(fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port())) {
-  KeepFromChildren();
+  KeepFromChildren(acceptor_.native_handle());
   Accept();
 }
 
@@ -188,7 +193,7 @@
 
 void http_service::Reopen() {
   acceptor_ = asio::ip::tcp::acceptor(loop_, LocalEndpoint());
-  KeepFromChildren();
+  KeepFromChildren(acceptor_.native_handle());
   Accept();
 }
 
@@ -198,7 +203,7 @@
   acceptor_ = asio::ip::tcp::acceptor(loop_, asio::ip::tcp::v4());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(LocalEndpoint());
-  KeepFromChildren();
+  KeepFromChildren(acceptor_.native_handle());
 }
 
 void http_service::Resume() {
@@ -206,15 +211,12 @@
   Accept();
 }
 
-void http_service::KeepFromChildren() {
-  ::fcntl(acceptor_.native_handle(), F_SETFD, FD_CLOEXEC);
-}
-
 void http_service::Accept() {
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error) {
       return;
     }
+    KeepFromChildren(socket.native_handle());
     const auto accepted = std::make_shared<connection>(std::move(socket), on_request_);
     std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
     connections_.push_back(accepted);
--- a/tests/emulator/http_service.h
+++ b/tests/emulator/http_service.h
@@ -69,8 +69,6 @@
   class connection;
 
   void Accept();
-  /** Gateways that are started later would inherit the socket and keep it open. */
-  void KeepFromChildren();
   asio::ip::tcp::endpoint LocalEndpoint() const;
 
   asio::io_context& loop_;
