Review: streams of two software versions are joined after the store's return

Cause: a daemon that has just started takes a missing record for a stream of the only announced version, also when the store has returned from a copy that is older than the record and the announcement.

Nothing is fixed.

--- a/review/standins-2/rig.cpp
+++ b/review/standins-2/rig.cpp
@@ -4,7 +4,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -611,7 +611,7 @@
   return json{{"service", service_},
               {"address", Address(port)},
               {"zone", "centru-a"},
-              {"version", "v1"},
+              {"version", version_},
               {"slots", service_ == "pool" ? 24 : 6},
               {"state", state},
               {"cold-remaining-ms", 0},
@@ -674,6 +674,8 @@
   const std::string log = log_file();
   const pid_t process = ::fork();
   if (process == 0) {
+    // The daemon ends with the stand-ins, however these end.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -172,6 +172,8 @@
   int port() const { return entrances_.front()->port(); }
   /** All answers say that the endpoint leaves. */
   void SayLeaving() { says_leaving_ = true; }
+  /** Sets the version of its software, v1 at first. */
+  void SetVersion(std::string version) { version_ = std::move(version); }
   /** The process ends: all connections end, new ones are refused. */
   void End();
 
@@ -185,6 +187,7 @@
 
   std::string id_;
   std::string service_;
+  std::string version_ = "v1";
   handler on_request_;
   std::atomic<bool> says_leaving_{false};
   std::int64_t born_;
