Review: an engine that restarts in place joins streams of two versions

Cause: while the store is away, a daemon goes on taking an engine that has restarted under its id for the software version in the last row it knew.

Nothing is fixed.

--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -129,6 +129,8 @@
   void GoAway();
   /** Serves again with the tables of the last copy and a new era. */
   void ReturnFromCopy();
+  /** Serves again as before. */
+  void Return();
 
  private:
   struct row {
@@ -158,6 +160,26 @@
   std::vector<std::unique_ptr<listener>> listeners_;
 };
 
+/** A network path that can be cut: a proxy on which bytes wait while it is cut. */
+class link {
+ public:
+  link(int port, int target_port);
+
+  void Cut();
+  /** Bytes go on; connections that were opened during the cut stay silent, as their SYN was lost.
+   */
+  void Heal();
+
+ private:
+  void Pump(const connection_ptr& from, const connection_ptr& to);
+
+  int target_port_;
+  std::mutex mutex_;
+  std::condition_variable healed_;
+  bool is_cut_ = false;
+  std::unique_ptr<listener> listener_;
+};
+
 /** An endpoint; what it does with requests is up to the case. */
 class endpoint {
  public:
@@ -176,6 +198,8 @@
   void SetVersion(std::string version) { version_ = std::move(version); }
   /** The process ends: all connections end, new ones are refused. */
   void End();
+  /** Starts again under its id, at its address. */
+  void Restart(const std::string& version);
 
   /** @return headers of a success. */
   std::vector<std::pair<std::string, std::string>> SuccessHeaders(const message& request) const;
