--- a/review/standins-2/rig.cpp
+++ b/review/standins-2/rig.cpp
@@ -14,6 +14,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -130,7 +131,7 @@
 void OpenRecord(const std::string& folder) {
   std::signal(SIGPIPE, SIG_IGN);
   record_file.open(folder + "/record.txt", std::ios::trunc);
-  std::string pattern = "/tmp/tarragon-review-XXXXXX";
+  std::string pattern = std::filesystem::temp_directory_path() / "tarragon-review-XXXXXX";
   Require(::mkdtemp(pattern.data()) != nullptr, "a temporary folder");
   work_folder = pattern;
 }
@@ -154,8 +155,8 @@
     processes.clear();
   }
   if (!work_folder.empty() && std::getenv("KEEP_LOGS") == nullptr) {
-    const std::string command = "rm -rf " + work_folder;
-    [[maybe_unused]] const int ignored = std::system(command.c_str());
+    std::error_code ignored;
+    std::filesystem::remove_all(work_folder, ignored);
   }
   std::_Exit(status);
 }
