Ask again before a send whether the request ends before the process

Cause: whether a request can end before the process was asked at admission only, without the time for which it may wait for an engine. One that had waited 3.5 s was sent 0.8 s before the exit.

MayAcceptWhileDraining takes the time that the request is still allowed and is now CanFinishInTime.

Ruled out: adding the longest wait to the estimate at admission, which refuses what can mostly be sent at once.

--- a/include/tarragon/gateway/request_admission.h
+++ b/include/tarragon/gateway/request_admission.h
@@ -22,6 +22,12 @@
 /** Retry-After of requests that crash endpoints; long, because they will not be served soon. */
 inline constexpr std::chrono::milliseconds kQuarantineRetryAfter{30000};
 
+/**
+ * Retry-After of requests that a stopping process leaves to others; short, because the caller's
+ * next connection goes to another daemon.
+ */
+inline constexpr std::chrono::milliseconds kDrainingRetryAfter{50};
+
 /** Route, account, size and deadline of an admitted request. */
 struct admitted_request {
   /** Owns `route` and `service`; a later configuration does not affect the request. */
@@ -60,6 +66,15 @@
                                                               const caller_request& request,
                                                               std::string_view request_id);
 
+/**
+ * @param time_allowed time after which the request ends at the latest.
+ * @return whether the request, if it is sent now, ends before this process. Always true unless the
+ *     process is stopping.
+ */
+bool CanFinishBeforeExit(const gateway_state& gateway,
+                         const admitted_request& admitted,
+                         std::chrono::milliseconds time_allowed);
+
 }  // namespace tarragon::gateway
 
 #endif  // TARRAGON_GATEWAY_REQUEST_ADMISSION_H_
--- a/include/tarragon/routing/drain_policy.h
+++ b/include/tarragon/routing/drain_policy.h
@@ -33,14 +33,16 @@
 std::chrono::milliseconds MaxGenerationDuration(const work_size& size, const pace_bounds& bounds);
 
 /**
- * @return whether a process that is shutting down should accept one more request. A request that
- *     cannot finish in time is refused, so that another daemon may run it.
+ * @param time_allowed time after which the request ends at the latest.
  * @param remaining_time time until the process ends.
+ * @return whether a request that is sent now by a process that is shutting down ends before the
+ *     process does. One that may not is refused, so that another daemon may run it.
  */
-bool MayAcceptWhileDraining(const route& rule,
-                            const work_size& size,
-                            const pace_bounds& bounds,
-                            std::chrono::milliseconds remaining_time);
+bool CanFinishInTime(const route& rule,
+                     const work_size& size,
+                     const pace_bounds& bounds,
+                     std::chrono::milliseconds time_allowed,
+                     std::chrono::milliseconds remaining_time);
 
 }  // namespace tarragon::routing
 
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -19,8 +19,6 @@
 
 /** Sent before a configuration is known; startup with a reachable store takes some 100 ms. */
 constexpr std::chrono::milliseconds kStartingRetryAfter{300};
-/** Short, because the caller's next connection goes to another daemon. */
-constexpr std::chrono::milliseconds kDrainingRetryAfter{50};
 
 /** Factor on the caller's estimate, which half of all outputs exceed. */
 constexpr double kOutputMargin = 1.3;
@@ -114,16 +112,21 @@
   return admitted;
 }
 
-bool CanFinishBeforeExit(const gateway_state& gateway, const admitted_request& admitted) {
+}  // namespace
+
+bool CanFinishBeforeExit(const gateway_state& gateway,
+                         const admitted_request& admitted,
+                         std::chrono::milliseconds time_allowed) {
+  if (!gateway.draining && !gateway.closing) {
+    return true;
+  }
   const routing::pace_bounds bounds =
       routing::BoundPace(gateway.time.Now(), gateway.PaceOf(admitted.service_name),
                          gateway.endpoints.FindByService(admitted.service_name));
-  return routing::MayAcceptWhileDraining(*admitted.route, admitted.size, bounds,
-                                         gateway.TimeUntilExit());
+  return !gateway.closing && routing::CanFinishInTime(*admitted.route, admitted.size, bounds,
+                                                      time_allowed, gateway.TimeUntilExit());
 }
 
-}  // namespace
-
 std::variant<admitted_request, rejected_request> AdmitRequest(const gateway_state& gateway,
                                                               const caller_request& request,
                                                               std::string_view request_id) {
@@ -147,7 +150,7 @@
   if (gateway.quarantine.FindQuarantined(admitted.traits)) {
     return rejected_request{kUnavailable, "crashes_endpoints", kQuarantineRetryAfter};
   }
-  if (gateway.closing || (gateway.draining && !CanFinishBeforeExit(gateway, admitted))) {
+  if (!CanFinishBeforeExit(gateway, admitted, route->timeout)) {
     return rejected_request{kUnavailable, "draining", kDrainingRetryAfter};
   }
   return admitted;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -220,6 +220,11 @@
     ResumeFromCopy();
     return;
   }
+  const bool may_refuse = !response_started_ && verdict_ == run_verdict::kNotRun;
+  if (may_refuse && !CanFinishBeforeExit(gateway_, admitted_, RemainingTime())) {
+    FailRequest("draining", kBadGateway, kDrainingRetryAfter);
+    return;
+  }
   const routing::pick_request wanted = MakePickRequest();
   const routing::pick_result pick =
       gateway_.picker.Pick(gateway_.time.Now(), gateway_.endpoints, wanted);
--- a/src/routing/drain_policy.cc
+++ b/src/routing/drain_policy.cc
@@ -68,15 +68,16 @@
       time(bounds.per_token, size.max_output_tokens));
 }
 
-bool MayAcceptWhileDraining(const route& rule,
-                            const work_size& size,
-                            const pace_bounds& bounds,
-                            std::chrono::milliseconds remaining_time) {
+bool CanFinishInTime(const route& rule,
+                     const work_size& size,
+                     const pace_bounds& bounds,
+                     std::chrono::milliseconds time_allowed,
+                     std::chrono::milliseconds remaining_time) {
   const bool has_known_size = size.max_output_tokens > 0;
   if (rule.kind == repeat_kind::kStream && has_known_size) {
     return MaxGenerationDuration(size, bounds) < remaining_time;
   }
-  return rule.timeout < remaining_time;
+  return time_allowed < remaining_time;
 }
 
 }  // namespace tarragon::routing
--- a/tests/routing/drain_policy_test.cc
+++ b/tests/routing/drain_policy_test.cc
@@ -19,10 +19,10 @@
   route rule;
   rule.kind = repeat_kind::kStream;
   const work_size report{3000, 100, 2000};
-  EXPECT_FALSE(MayAcceptWhileDraining(rule, report, kUsualPace, milliseconds(7700)));
+  EXPECT_FALSE(CanFinishInTime(rule, report, kUsualPace, rule.timeout, milliseconds(7700)));
   const work_size short_answer{2200, 16, 52};
-  EXPECT_TRUE(MayAcceptWhileDraining(rule, short_answer, kUsualPace, milliseconds(7700)));
-  EXPECT_FALSE(MayAcceptWhileDraining(rule, short_answer, kUsualPace, milliseconds(500)));
+  EXPECT_TRUE(CanFinishInTime(rule, short_answer, kUsualPace, rule.timeout, milliseconds(7700)));
+  EXPECT_FALSE(CanFinishInTime(rule, short_answer, kUsualPace, rule.timeout, milliseconds(500)));
 }
 
 // Guards against a draining process that accepts a call it cannot finish, or refuses one that it
@@ -31,8 +31,8 @@
   route rule;
   rule.kind = repeat_kind::kUnsafe;
   rule.timeout = milliseconds(2000);
-  EXPECT_TRUE(MayAcceptWhileDraining(rule, {}, kUsualPace, milliseconds(2500)));
-  EXPECT_FALSE(MayAcceptWhileDraining(rule, {}, kUsualPace, milliseconds(1900)));
+  EXPECT_TRUE(CanFinishInTime(rule, {}, kUsualPace, rule.timeout, milliseconds(2500)));
+  EXPECT_FALSE(CanFinishInTime(rule, {}, kUsualPace, rule.timeout, milliseconds(1900)));
 }
 
 // Guards against a draining process that accepts a generation at engines too slow to finish it, as
@@ -64,8 +64,8 @@
   route rule;
   rule.kind = repeat_kind::kStream;
   rule.timeout = milliseconds(4000);
-  EXPECT_FALSE(MayAcceptWhileDraining(rule, {}, kUsualPace, milliseconds(3900)));
-  EXPECT_TRUE(MayAcceptWhileDraining(rule, {}, kUsualPace, milliseconds(4100)));
+  EXPECT_FALSE(CanFinishInTime(rule, {}, kUsualPace, rule.timeout, milliseconds(3900)));
+  EXPECT_TRUE(CanFinishInTime(rule, {}, kUsualPace, rule.timeout, milliseconds(4100)));
 }
 
 }  // namespace
