Count the time of missing endpoints from when the store may have been back

Cause: missing endpoints were kept for 2.5 s from the daemon's own first answered call, which came up to 1.6 s after the store was within reach again.

Change: a watch knows for how long the store may have been back, and endpoints are kept until 2.8 s after that, 1.2 to 2.5 s. The pause after a failed call runs from its start, so that a reader finds the store within 0.8 s.

Ruled out: keeping nothing after a cut, since a daemon cannot tell a cut from an outage, in which rows lapse; a shorter time from the first answered call.

--- a/include/tarragon/gateway/table_listener.h
+++ b/include/tarragon/gateway/table_listener.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -24,6 +25,11 @@
   std::uint32_t failed_calls = 0;
   /** Time from the end of the last failed call to the one that succeeded. */
   std::chrono::milliseconds last_wait{0};
+  /**
+   * Longest time for which the store may have been within reach again before the call that
+   * succeeded: since the last failed call could have been answered. Empty if unknown.
+   */
+  std::optional<std::chrono::milliseconds> max_time_back = {};
 };
 
 /** Receives the contents of a table. */
--- a/include/tarragon/gateway/table_watcher.h
+++ b/include/tarragon/gateway/table_watcher.h
@@ -30,7 +30,10 @@
   std::chrono::milliseconds response_timeout = routing::kStoreResponseTimeout;
   /** Minimum time between two feed calls; changes within it are fetched together. */
   std::chrono::milliseconds min_interval{0};
-  /** Backoff after a failed call; doubles with each consecutive failure up to the maximum. */
+  /**
+   * Backoff from the start of a call that fails to the next one; doubles with each consecutive
+   * failure up to the maximum.
+   */
   std::chrono::milliseconds initial_backoff = routing::kInitialStoreBackoff;
   std::chrono::milliseconds max_backoff{800};
   /** Delay before a read that returned a stale version is repeated. */
@@ -83,6 +86,10 @@
   /** @return whether the response comes from a later era than the listener's rows. */
   bool IsFromLaterEra(const store_response& response) const;
   void OnCallFailed(std::string_view reason);
+  /** Makes a call and remembers when. */
+  void Call(service_call call,
+            std::chrono::milliseconds timeout,
+            void (table_watcher::*handle)(store_call_result));
   void OnCallSucceeded();
   void ScheduleAfter(std::chrono::milliseconds delay, void (table_watcher::*next)());
   void Retry();
@@ -110,6 +117,9 @@
   std::vector<table_row> page_rows_;
   std::optional<table_position> page_position_;
   std::chrono::steady_clock::time_point last_feed_;
+  std::chrono::steady_clock::time_point call_started_;
+  /** When the last failed call could still have been answered. */
+  std::chrono::steady_clock::time_point unanswered_at_;
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -127,10 +127,19 @@
 /** Timeouts of `endpoint_registry`. */
 struct registry_options {
   /**
-   * Time for which missing entries are kept after an outage of the store: the platform restores
-   * them within about two seconds.
+   * Longest time for which missing entries are kept after an outage of the store: the platform
+   * restores them within about two seconds.
    */
   duration restore_grace_period = std::chrono::milliseconds(2500);
+  /** Shortest such time, where a daemon may have found the store again late. */
+  duration min_restore_grace_period = std::chrono::milliseconds(1200);
+  /**
+   * Time after the end of an outage at which an endpoint that is still missing gets no request any
+   * more. The users hold a daemon to a departure 3 s after it has reached the store again.
+   */
+  duration max_missing_time = std::chrono::milliseconds(2800);
+  /** Time after the end of an outage at which a daemon usually finds the store again. */
+  duration usual_time_back = std::chrono::milliseconds(700);
 };
 
 /** Holds all endpoints that the platform lists, and decides which of them are in use. */
@@ -214,11 +223,18 @@
 
   /** While the store is unavailable, missing endpoints are kept. */
   void OnStoreUnavailable(time_point now);
-  void OnStoreRecovered(time_point now);
+  /**
+   * @param max_time_back longest time for which the store may have been within reach again; empty
+   *     if unknown.
+   */
+  void OnStoreRecovered(time_point now, std::optional<duration> max_time_back = {});
 
   /** Removes missing endpoints whose grace period has ended. */
   void RemoveMissing(time_point now);
 
+  /** @return when the grace period of missing endpoints ends; empty if none is missing. */
+  std::optional<time_point> NextRemoval() const;
+
   /** @return all endpoints of the service, including those that accept no work. */
   const std::vector<endpoint_ptr>& FindByService(std::string_view service) const;
   endpoint_ptr Find(const std::string& id) const;
@@ -286,7 +302,8 @@
   std::map<std::string, store_version> tombstones_;
   evacuation_list evacuations_;
   bool store_unavailable_ = false;
-  std::optional<time_point> store_recovered_at_;
+  /** End of the grace period after the last outage. */
+  time_point restorable_until_;
 };
 
 }  // namespace tarragon::routing
--- a/include/tarragon/routing/store_pace.h
+++ b/include/tarragon/routing/store_pace.h
@@ -11,7 +11,7 @@
 struct store_pace {
   /** Longest wait of one feed call at the store. */
   std::chrono::milliseconds wait{2000};
-  /** Longest wait after a failed call. */
+  /** Longest time from the start of a call that fails to the next call. */
   std::chrono::milliseconds max_backoff{800};
 };
 
--- a/src/gateway/endpoint_updater.cc
+++ b/src/gateway/endpoint_updater.cc
@@ -67,7 +67,7 @@
 }
 
 void endpoint_updater::OnStoreRegained(const store_outage& outage) {
-  gateway_.endpoints.OnStoreRecovered(gateway_.time.Now());
+  gateway_.endpoints.OnStoreRecovered(gateway_.time.Now(), outage.max_time_back);
   dependency_.LogRegained(outage);
 }
 
--- a/src/gateway/table_watcher.cc
+++ b/src/gateway/table_watcher.cc
@@ -14,6 +14,11 @@
 constexpr int kOk = 200;
 constexpr int kHistoryGone = 410;
 
+std::chrono::milliseconds SinceStart(std::chrono::steady_clock::time_point start) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() -
+                                                               start);
+}
+
 std::string FailureReason(const store_call_result& result) {
   return result ? fmt::format("store returned status {}", result.value().status)
                 : std::string(store::ToString(result.error()));
@@ -96,12 +101,18 @@
 }
 
 void table_watcher::LoadPage(const std::string& from) {
-  channel_.Call(adapter_.ReadTableCall(table_, from), options_.response_timeout,
-                [this](store_call_result result) {
-                  if (running_) {
-                    HandleResult(std::move(result), &table_watcher::OnPage);
-                  }
-                });
+  Call(adapter_.ReadTableCall(table_, from), options_.response_timeout, &table_watcher::OnPage);
+}
+
+void table_watcher::Call(service_call call,
+                         std::chrono::milliseconds timeout,
+                         void (table_watcher::*handle)(store_call_result)) {
+  call_started_ = std::chrono::steady_clock::now();
+  channel_.Call(std::move(call), timeout, [this, handle](store_call_result result) {
+    if (running_) {
+      HandleResult(std::move(result), handle);
+    }
+  });
 }
 
 void table_watcher::OnPage(store_call_result result) {
@@ -152,12 +163,8 @@
   last_feed_ = std::chrono::steady_clock::now();
   // The first call after a failure does not wait, so that the end of an outage is seen at once.
   const std::chrono::milliseconds wait = connected_ ? options_.wait : std::chrono::milliseconds(0);
-  channel_.Call(adapter_.WatchTableCall(table_, version_.number, wait),
-                wait + options_.response_timeout, [this](store_call_result result) {
-                  if (running_) {
-                    HandleResult(std::move(result), &table_watcher::OnFeed);
-                  }
-                });
+  Call(adapter_.WatchTableCall(table_, version_.number, wait), wait + options_.response_timeout,
+       &table_watcher::OnFeed);
 }
 
 void table_watcher::OnFeed(store_call_result result) {
@@ -204,7 +211,12 @@
   if (!std::exchange(outage_reported_, true)) {
     listener_.OnStoreLost(reason);
   }
-  outage_.last_wait = backoff_.Next(random_);
+  const std::chrono::milliseconds elapsed = SinceStart(call_started_);
+  unanswered_at_ = std::chrono::steady_clock::now();
+  if (elapsed >= options_.response_timeout) {
+    unanswered_at_ -= options_.response_timeout;
+  }
+  outage_.last_wait = std::max(std::chrono::milliseconds(0), backoff_.Next(random_) - elapsed);
   ++outage_.failed_calls;
   is_backing_off_ = true;
   ScheduleAfter(outage_.last_wait, &table_watcher::Retry);
@@ -231,8 +243,9 @@
 void table_watcher::OnCallSucceeded() {
   connected_ = true;
   backoff_.Reset();
-  const store_outage ended = std::exchange(outage_, {});
+  store_outage ended = std::exchange(outage_, {});
   if (std::exchange(outage_reported_, false)) {
+    ended.max_time_back = SinceStart(unanswered_at_);
     listener_.OnStoreRegained(ended);
     if (on_regained_) {
       on_regained_();
--- a/src/routing/endpoint_registry.cc
+++ b/src/routing/endpoint_registry.cc
@@ -246,16 +246,25 @@
   store_unavailable_ = true;
 }
 
-void endpoint_registry::OnStoreRecovered(time_point now) {
-  if (std::exchange(store_unavailable_, false)) {
-    store_recovered_at_ = now;
+void endpoint_registry::OnStoreRecovered(time_point now, std::optional<duration> max_time_back) {
+  if (!std::exchange(store_unavailable_, false)) {
+    return;
   }
+  // Whether the store was away or only out of this daemon's reach is not known: an endpoint may
+  // have left meanwhile for good.
+  const duration kept =
+      options_.max_missing_time - max_time_back.value_or(options_.usual_time_back);
+  restorable_until_ =
+      now + std::clamp(kept, options_.min_restore_grace_period, options_.restore_grace_period);
+}
+
+std::optional<time_point> endpoint_registry::NextRemoval() const {
+  return missing_since_.empty() || store_unavailable_ ? std::nullopt
+                                                      : std::optional(restorable_until_);
 }
 
 void endpoint_registry::RemoveMissing(time_point now) {
-  const bool may_be_restored =
-      store_unavailable_ ||
-      (store_recovered_at_ && now < *store_recovered_at_ + options_.restore_grace_period);
+  const bool may_be_restored = store_unavailable_ || now < restorable_until_;
   std::vector<std::string> removed_ids;
   for (const auto& [id, since] : missing_since_) {
     const auto found = endpoints_.find(id);
--- a/src/routing/store_pace.cc
+++ b/src/routing/store_pace.cc
@@ -13,9 +13,9 @@
 constexpr std::chrono::milliseconds kMaxBackoff{800};
 /**
  * For daemons that read only because they have no source: in an outage these are all others. A call
- * that times out as the path comes back, and the wait after it, fit into `kCatchUpTime`.
+ * that times out as the path comes back, and the wait until the next one, fit into `kCatchUpTime`.
  */
-constexpr std::chrono::milliseconds kMaxSubstituteBackoff = kCatchUpTime - kStoreResponseTimeout;
+constexpr std::chrono::milliseconds kMaxSubstituteBackoff = kCatchUpTime;
 
 }  // namespace
 
--- a/tests/gateway/scripted_channel.h
+++ b/tests/gateway/scripted_channel.h
@@ -2,9 +2,10 @@
 #define TARRAGON_TESTS_GATEWAY_SCRIPTED_CHANNEL_H_
 
 #include <asio/io_context.hpp>
-#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <chrono>
 #include <deque>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,13 +24,17 @@
     if (results.empty()) {
       return;
     }
-    asio::post(loop_, [done = std::move(done), result = results.front()] { done(result); });
+    auto timer = std::make_shared<asio::steady_timer>(loop_, response_delay);
+    timer->async_wait([timer, done = std::move(done),
+                       result = results.front()](const asio::error_code&) { done(result); });
     results.pop_front();
   }
   void Cancel() override { ++cancellations; }
 
   std::deque<store_call_result> results;
   std::vector<std::string> targets;
+  /** Time from each call to its result. */
+  std::chrono::milliseconds response_delay{0};
   int cancellations = 0;
 
  private:
--- a/tests/gateway/table_watcher_test.cc
+++ b/tests/gateway/table_watcher_test.cc
@@ -27,9 +27,13 @@
     events.push_back(fmt::format("{} changes at {}", rows.size(), position.version));
   }
   void OnStoreLost(std::string_view) override { events.emplace_back("lost"); }
-  void OnStoreRegained(const store_outage&) override { events.emplace_back("regained"); }
+  void OnStoreRegained(const store_outage& ended) override {
+    events.emplace_back("regained");
+    outage = ended;
+  }
 
   std::vector<std::string> events;
+  store_outage outage;
 };
 
 std::string Row(std::string_view key, int version) {
@@ -222,5 +226,39 @@
   EXPECT_EQ(channel.targets.size(), 4U);
 }
 
+// Guards against a daemon that finds the store late after a cut, because it waits after a call that
+// has timed out as long again.
+TEST_F(table_watcher_test, TimeoutsCountAsPartOfTheBackoff) {
+  constexpr std::chrono::milliseconds kTimeout{60};
+  channel.response_delay = kTimeout;
+  channel.results = {Page("", 1), store::store_error::kUnknownOutcome,
+                     store::store_error::kUnknownOutcome, Page("", 2)};
+  watch_options options;
+  options.wait = std::chrono::milliseconds(0);
+  options.response_timeout = options.initial_backoff = options.max_backoff = kTimeout;
+  table_watcher watcher(loop, adapter, channel, "t", listener, options, 1);
+  watcher.Start();
+  loop.run();
+  ASSERT_EQ(listener.events.back(), "0 changes at 2");
+  EXPECT_EQ(listener.outage.failed_calls, 2U);
+  EXPECT_EQ(listener.outage.last_wait, std::chrono::milliseconds(0));
+  // The last call that failed may have been sent just before the store was within reach again.
+  ASSERT_TRUE(listener.outage.max_time_back.has_value());
+  EXPECT_GE(*listener.outage.max_time_back, 2 * kTimeout - std::chrono::milliseconds(5));
+  EXPECT_LE(*listener.outage.max_time_back, 4 * kTimeout);
+}
+
+// Guards against taking a store that refuses calls at once for one that was back long before.
+TEST_F(table_watcher_test, ARefusalShowsThatTheStoreIsNotBack) {
+  channel.results = {Page("", 1), store::store_error::kUnavailable, Page("", 2)};
+  watch_options options;
+  options.initial_backoff = options.max_backoff = std::chrono::milliseconds(1);
+  table_watcher watcher(loop, adapter, channel, "t", listener, options, 1);
+  watcher.Start();
+  loop.run();
+  ASSERT_TRUE(listener.outage.max_time_back.has_value());
+  EXPECT_LT(*listener.outage.max_time_back, routing::kStoreResponseTimeout);
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
--- a/tests/routing/endpoint_registry_test.cc
+++ b/tests/routing/endpoint_registry_test.cc
@@ -25,6 +25,7 @@
 
 class endpoint_registry_test : public testing::Test {
  protected:
+  std::uint64_t version = 0;
   endpoint_registry_test() {
     registry.SetLeavingListener([this](const endpoint_ptr& target, leaving_source) {
       left_ids.push_back(target->entry.id);
@@ -89,6 +90,29 @@
   EXPECT_EQ(left_ids, std::vector<std::string>{"a"});
 }
 
+// Guards against requests to an endpoint that left while this daemon was cut off, later than 3 s
+// after the end of the cut. The daemon may have found the store again long after that end.
+TEST_F(endpoint_registry_test, RemovesEntryInTimeIfTheStoreWasFoundLate) {
+  constexpr milliseconds kContactTime(3000);
+  for (const milliseconds time_back : {milliseconds(0), milliseconds(400), milliseconds(850)}) {
+    registry.Put(now, ++version, Entry("a"));
+    registry.OnStoreUnavailable(now);
+    const time_point reached_at = now += milliseconds(6000);
+    registry.OnStoreRecovered(now, time_back);
+    registry.Remove(now, ++version, "a");
+    // The platform restores within two seconds of the end what lapsed in an outage of the store.
+    now = reached_at + milliseconds(1900);
+    registry.RemoveMissing(now);
+    EXPECT_TRUE(AcceptsWork("a")) << time_back.count();
+    ASSERT_TRUE(registry.NextRemoval().has_value());
+    EXPECT_LT(*registry.NextRemoval(), reached_at - time_back + kContactTime);
+    now = *registry.NextRemoval();
+    registry.RemoveMissing(now);
+    EXPECT_EQ(registry.Find("a"), nullptr) << time_back.count();
+    EXPECT_FALSE(registry.NextRemoval().has_value());
+  }
+}
+
 // Guards against keeping an endpoint that had announced before the outage that it leaves.
 TEST_F(endpoint_registry_test, RemovesLeavingEntryEvenAfterOutage) {
   registry.Put(now, 1, Entry("a", /*leaving=*/true));
