Let daemons state in a tunnel that the endpoint has ended its bytes

Cause: the kernel closes the sockets of a killed process in order. A tunnel passed bytes on as they were, so that the carrier's end looked like the endpoint's. The same for plain answers, for the end of the grace period, and for a carrier whose write to the endpoint had failed.

Change: a daemon asks for chunks; the last chunk states the endpoint's end, and any other end breaks the response off (connection_ending).

Ruled out: SO_LINGER alone, which says nothing to the asking daemon; asking only daemons that know chunks, which leaves the first of an upgrade alone.

--- a/include/tarragon/gateway/connection_attempt.h
+++ b/include/tarragon/gateway/connection_attempt.h
@@ -13,6 +13,7 @@
 #include <variant>
 
 #include "tarragon/base/clock.h"
+#include "tarragon/gateway/connection_ending.h"
 #include "tarragon/gateway/tunnel_status.h"
 
 namespace tarragon::gateway {
@@ -26,8 +27,14 @@
   kUnreachable,
 };
 
+/** A connection on which the endpoint gets what this daemon writes. */
+struct endpoint_connection {
+  asio::ip::tcp::socket socket;
+  endpoint_path path = endpoint_path::kDirect;
+};
+
 /** A connection to the endpoint, or the reason why there is none. */
-using connect_result = std::variant<asio::ip::tcp::socket, connect_failure>;
+using connect_result = std::variant<endpoint_connection, connect_failure>;
 
 /**
  * Opens one connection to an endpoint: directly, or through other daemons while this one is cut off
--- a/include/tarragon/gateway/http_exchange.h
+++ b/include/tarragon/gateway/http_exchange.h
@@ -11,6 +11,8 @@
 #include <string_view>
 
 #include "tarragon/gateway/connection_attempt.h"
+#include "tarragon/gateway/connection_ending.h"
+#include "tarragon/gateway/tunnel_chunks.h"
 #include "tarragon/http/message_reader.h"
 
 namespace tarragon::gateway {
@@ -73,7 +75,10 @@
   void Send();
   void Read();
   void Consume(std::string_view bytes);
-  void OnClosed(bool by_end_of_stream);
+  /** Reads bytes of the connection, from which `Consume` gets those of the endpoint. */
+  void Receive(std::string_view bytes);
+  /** No more bytes of the endpoint can come. */
+  void OnEnded(bool is_orderly);
   void Fail(exchange_error error);
 
   static constexpr std::size_t kReadBytes = 8192;
@@ -84,6 +89,8 @@
   exchange_listener* listener_;
   http::message_reader reader_;
   std::string request_;
+  endpoint_path path_ = endpoint_path::kDirect;
+  tunnel_chunk_reader chunks_;
   std::array<char, kReadBytes> buffer_{};
   bool informational_ = false;
   bool ended_ = false;
--- a/include/tarragon/gateway/relay_message.h
+++ b/include/tarragon/gateway/relay_message.h
@@ -46,6 +46,11 @@
 /** Only message of a daemon that wants the connection to become one to an endpoint. */
 struct tunnel_request {
   std::string endpoint_id;
+  /**
+   * The daemon reads the endpoint's bytes in chunks. Sent after all other fields, where daemons of
+   * earlier versions ignore it.
+   */
+  bool accepts_chunks = false;
 };
 
 using relay_message = std::variant<relay_subscription, relay_update, relay_loads, tunnel_request>;
--- a/include/tarragon/gateway/tunnel_server.h
+++ b/include/tarragon/gateway/tunnel_server.h
@@ -31,7 +31,7 @@
   struct pending_tunnel;
 
   void OnConnected(const std::shared_ptr<pending_tunnel>& pending, connect_result result);
-  /** Sends the status and, unless it is `kOpen`, closes the connection. */
+  /** Sends the status and closes the connection, unless an endpoint is connected. */
   void Reply(const std::shared_ptr<pending_tunnel>& pending, tunnel_status status);
   void Begin(const std::shared_ptr<pending_tunnel>& pending);
   void OnEnded(const std::shared_ptr<tunnel>& ended);
--- a/include/tarragon/gateway/tunnel_status.h
+++ b/include/tarragon/gateway/tunnel_status.h
@@ -11,6 +11,8 @@
 enum class tunnel_status : std::uint8_t {
   /** All further bytes are the endpoint's. */
   kOpen = 'o',
+  /** All further bytes are the endpoint's, in chunks; see `tunnel_chunks`. */
+  kOpenChunked = 'c',
   /** The endpoint cannot be reached. */
   kUnreachable = 'u',
   /** The daemon is cut off from all endpoints. */
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -311,6 +311,9 @@
 void caller_connection::BeginStream(int status, http::header_list headers) {
   const std::string_view framing = chunked_response_ ? "Transfer-Encoding: chunked\r\n" : "";
   close_after_write_ = WillClose() || !chunked_response_;
+  if (!chunked_response_) {
+    SetEndsWithConnection(true);
+  }
   Write(FormatHead(status, headers, framing));
 }
 
@@ -328,7 +331,17 @@
   Write(chunk);
 }
 
+void caller_connection::SetEndsWithConnection(bool ends_with_connection) {
+  ends_with_connection_ = ends_with_connection;
+  // Also resets the connection if the process is killed.
+  asio::error_code ignored;
+  socket_.set_option(asio::socket_base::linger(ends_with_connection, 0), ignored);
+}
+
 void caller_connection::EndStream() {
+  if (ends_with_connection_) {
+    SetEndsWithConnection(false);
+  }
   if (chunked_response_ && !omits_body_) {
     Write("0\r\n\r\n");
   }
@@ -436,7 +449,7 @@
     asio::post(socket_.get_executor(), [self = std::exchange(paused_self_, nullptr)] {});
   }
   asio::error_code ignored;
-  if (reset) {
+  if (reset || ends_with_connection_) {
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   } else {
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/gateway/connection_attempt.cc
+++ b/src/gateway/connection_attempt.cc
@@ -112,7 +112,7 @@
     if (paths_ != nullptr) {
       paths_->OnConnected(address_, started_at_);
     }
-    Finish(std::move(socket_));
+    Finish(endpoint_connection{std::move(socket_), endpoint_path::kDirect});
     return;
   }
   Abandon();
@@ -190,8 +190,10 @@
 
 void connection_attempt::OnPeerStatus(tunnel_status status) {
   paths_->OnPeerStatus(peer_, address_, status);
-  if (status == tunnel_status::kOpen) {
-    Finish(std::move(socket_));
+  if (status == tunnel_status::kOpen || status == tunnel_status::kOpenChunked) {
+    Finish(endpoint_connection{std::move(socket_), status == tunnel_status::kOpenChunked
+                                                       ? endpoint_path::kChunkedTunnel
+                                                       : endpoint_path::kPlainTunnel});
     return;
   }
   found_unreachable_ += status == tunnel_status::kUnreachable ? 1 : 0;
--- /dev/null
+++ b/src/gateway/connection_ending.cc
@@ -0,0 +1,17 @@
+#include "tarragon/gateway/connection_ending.h"
+
+namespace tarragon::gateway {
+
+bool CompletesResponse(const connection_ending& ending) {
+  switch (ending.path) {
+    case endpoint_path::kDirect:
+      return ending.is_orderly;
+    case endpoint_path::kChunkedTunnel:
+      return ending.is_stated;
+    case endpoint_path::kPlainTunnel:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace tarragon::gateway
--- a/src/gateway/http_exchange.cc
+++ b/src/gateway/http_exchange.cc
@@ -30,8 +30,9 @@
   if (listener_ == nullptr) {
     return;
   }
-  if (auto* const socket = std::get_if<asio::ip::tcp::socket>(&result)) {
-    socket_ = std::move(*socket);
+  if (auto* const connection = std::get_if<endpoint_connection>(&result)) {
+    socket_ = std::move(connection->socket);
+    path_ = connection->path;
     Send();
     Read();
     return;
@@ -68,16 +69,27 @@
           return;
         }
         if (error) {
-          self->OnClosed(error == asio::error::eof);
+          self->OnEnded(error == asio::error::eof);
           return;
         }
-        self->Consume({self->buffer_.data(), size});
+        self->Receive({self->buffer_.data(), size});
         if (self->listener_ != nullptr) {
           self->Read();
         }
       });
 }
 
+void http_exchange::Receive(std::string_view bytes) {
+  if (path_ != endpoint_path::kChunkedTunnel) {
+    Consume(bytes);
+    return;
+  }
+  chunks_.Feed(bytes, [this](std::string_view payload) { Consume(payload); });
+  if (chunks_.has_ended() && listener_ != nullptr) {
+    OnEnded(/*is_orderly=*/true);
+  }
+}
+
 void http_exchange::Consume(std::string_view bytes) {
   while (!bytes.empty() && listener_ != nullptr) {
     const std::size_t taken = reader_.Feed(bytes);
@@ -96,12 +108,15 @@
   }
 }
 
-void http_exchange::OnClosed(bool by_end_of_stream) {
-  if (by_end_of_stream) {
-    reader_.Finish();
-  } else {
+void http_exchange::OnEnded(bool is_orderly) {
+  if (!is_orderly) {
     attempt_->ReportReset();
   }
+  if (CompletesResponse({.path = path_,
+                         .is_orderly = is_orderly,
+                         .is_stated = chunks_.has_ended()})) {
+    reader_.Finish();
+  }
   if (listener_ != nullptr && !ended_) {
     Fail(exchange_error::kLost);
   }
--- a/src/gateway/path_monitor.cc
+++ b/src/gateway/path_monitor.cc
@@ -120,7 +120,8 @@
 
 std::optional<tunnel_request> path_monitor::MakeRequest(const std::string& address) const {
   const routing::endpoint_ptr listed = FindListed(address);
-  return listed ? std::optional(tunnel_request{listed->entry.id}) : std::nullopt;
+  return listed ? std::optional(tunnel_request{listed->entry.id, /*accepts_chunks=*/true})
+                : std::nullopt;
 }
 
 std::optional<std::string> path_monitor::ChoosePeer() {
@@ -137,7 +138,8 @@
 void path_monitor::OnPeerStatus(const std::string& peer,
                                 const std::string& address,
                                 tunnel_status status) {
-  if (status == tunnel_status::kOpen) {
+  const bool is_open = status == tunnel_status::kOpen || status == tunnel_status::kOpenChunked;
+  if (is_open) {
     peers_.OnOpened(peer);
   } else if (status != tunnel_status::kUnknownEndpoint) {
     peers_.OnFailed(Now(), peer);
@@ -146,7 +148,7 @@
       .Counter("tarragon_gateway_tunnel_requests_total",
                fmt::format("status=\"{}\"", ToString(status)))
       .Add();
-  gateway_.log.LogRequest(status == tunnel_status::kOpen ? "tunnel_opened" : "tunnel_failed",
+  gateway_.log.LogRequest(is_open ? "tunnel_opened" : "tunnel_failed",
                           {{"daemon", peer}, {"address", address}, {"status", ToString(status)}});
 }
 
--- a/src/gateway/relay_message.cc
+++ b/src/gateway/relay_message.cc
@@ -77,6 +77,10 @@
     cereal::PortableBinaryInputArchive archive(stream);
     relay_message message;
     archive(message);
+    if (auto* const request = std::get_if<tunnel_request>(&message);
+        request != nullptr && stream.peek() != std::istringstream::traits_type::eof()) {
+      archive(request->accepts_chunks);
+    }
     return message;
   } catch (const std::exception&) {
     // cereal reports a truncated message only by an exception.
@@ -91,6 +95,10 @@
   {
     cereal::PortableBinaryOutputArchive archive(stream);
     archive(message);
+    if (const auto* const request = std::get_if<tunnel_request>(&message);
+        request != nullptr && request->accepts_chunks) {
+      archive(request->accepts_chunks);
+    }
   }
   std::string payload = std::move(stream).str();
   const bool is_compressed = payload.size() >= kMinCompressedPayload;
--- a/src/gateway/tunnel.cc
+++ b/src/gateway/tunnel.cc
@@ -7,11 +7,15 @@
 
 namespace tarragon::gateway {
 
-tunnel::tunnel(asio::ip::tcp::socket daemon, asio::ip::tcp::socket endpoint)
-    : daemon_(std::move(daemon)), endpoint_(std::move(endpoint)) {}
+tunnel::tunnel(asio::ip::tcp::socket daemon, asio::ip::tcp::socket endpoint, tunnel_framing framing)
+    : daemon_(std::move(daemon)), endpoint_(std::move(endpoint)), framing_(framing) {}
 
 void tunnel::Start(std::function<void()> on_end) {
   on_end_ = std::move(on_end);
+  // The kernel closes the sockets of a killed process. With this option it resets the connection,
+  // which a daemon of an earlier version cannot take for the end of the response.
+  asio::error_code ignored;
+  daemon_.set_option(asio::socket_base::linger(true, 0), ignored);
   Read(requests_);
   Read(responses_);
 }
@@ -47,9 +51,18 @@
 }
 
 void tunnel::Write(flow& passed, std::size_t size) {
+  const bool has_header = &passed == &responses_ && framing_ == tunnel_framing::kChunked;
+  if (has_header) {
+    chunk_header_ = MakeTunnelChunkHeader(size);
+  }
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(chunk_header_, has_header ? chunk_header_.size() : 0),
+      asio::buffer(passed.buffer, size)};
+  passed.is_writing = true;
   asio::async_write(
-      passed.to, asio::buffer(passed.buffer, size),
+      passed.to, buffers,
       [self = shared_from_this(), &passed](const asio::error_code& error, std::size_t) {
+        passed.is_writing = false;
         if (self->on_end_ == nullptr) {
           return;
         }
@@ -62,17 +75,33 @@
 }
 
 void tunnel::OnEnd(flow& passed, bool is_orderly) {
-  asio::error_code ignored;
-  if (&passed == &responses_ && is_orderly) {
-    // The daemon closes its connection once it has read the response.
-    daemon_.shutdown(asio::socket_base::shutdown_send, ignored);
+  if (&passed == &responses_ && is_orderly && !requests_.is_writing) {
+    EndResponse();
     return;
   }
-  if (&passed == &responses_) {
-    daemon_.set_option(asio::socket_base::linger(true, 0), ignored);
-  }
   // A daemon closes its connection only when it wants no response any more.
   Fail();
 }
 
+void tunnel::EndResponse() {
+  if (framing_ == tunnel_framing::kPlain) {
+    ShutDownResponse();
+    return;
+  }
+  chunk_header_ = MakeTunnelChunkHeader(0);
+  asio::async_write(daemon_, asio::buffer(chunk_header_),
+                    [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                      if (self->on_end_ != nullptr && !error) {
+                        self->ShutDownResponse();
+                      }
+                    });
+}
+
+void tunnel::ShutDownResponse() {
+  // The daemon closes its connection once it has read the response.
+  asio::error_code ignored;
+  daemon_.set_option(asio::socket_base::linger(false, 0), ignored);
+  daemon_.shutdown(asio::socket_base::shutdown_send, ignored);
+}
+
 }  // namespace tarragon::gateway
--- a/src/gateway/tunnel_server.cc
+++ b/src/gateway/tunnel_server.cc
@@ -20,6 +20,7 @@
   asio::ip::tcp::socket daemon;
   asio::ip::tcp::socket endpoint;
   routing::endpoint_ptr target;
+  tunnel_framing framing = tunnel_framing::kPlain;
   std::array<char, 1> status{};
 };
 
@@ -35,6 +36,7 @@
 void tunnel_server::Open(asio::ip::tcp::socket daemon, const tunnel_request& request) {
   const auto pending = std::make_shared<pending_tunnel>(std::move(daemon));
   pending->target = gateway_.endpoints.Find(request.endpoint_id);
+  pending->framing = request.accepts_chunks ? tunnel_framing::kChunked : tunnel_framing::kPlain;
   if (gateway_.draining || tunnels_.size() + pending_ >= kMaxTunnels) {
     Reply(pending, tunnel_status::kBusy);
   } else if (pending->target == nullptr) {
@@ -53,9 +55,10 @@
 
 void tunnel_server::OnConnected(const std::shared_ptr<pending_tunnel>& pending,
                                 connect_result result) {
-  if (auto* const socket = std::get_if<asio::ip::tcp::socket>(&result)) {
-    pending->endpoint = std::move(*socket);
-    Reply(pending, tunnel_status::kOpen);
+  if (auto* const connection = std::get_if<endpoint_connection>(&result)) {
+    pending->endpoint = std::move(connection->socket);
+    Reply(pending, pending->framing == tunnel_framing::kChunked ? tunnel_status::kOpenChunked
+                                                                : tunnel_status::kOpen);
     return;
   }
   if (paths_.IsCutOff(pending->target->entry.address)) {
@@ -74,16 +77,16 @@
       .Add();
   pending->status = {static_cast<char>(status)};
   asio::async_write(pending->daemon, asio::buffer(pending->status),
-                    [this, pending, status](const asio::error_code& error, std::size_t) {
-                      if (!error && status == tunnel_status::kOpen) {
+                    [this, pending](const asio::error_code& error, std::size_t) {
+                      if (!error && pending->endpoint.is_open()) {
                         Begin(pending);
                       }
                     });
 }
 
 void tunnel_server::Begin(const std::shared_ptr<pending_tunnel>& pending) {
-  const auto added =
-      std::make_shared<tunnel>(std::move(pending->daemon), std::move(pending->endpoint));
+  const auto added = std::make_shared<tunnel>(std::move(pending->daemon),
+                                              std::move(pending->endpoint), pending->framing);
   tunnels_.insert(added);
   OnCountChanged();
   added->Start([this, weak = std::weak_ptr<tunnel>(added)] {
--- a/src/gateway/tunnel_status.cc
+++ b/src/gateway/tunnel_status.cc
@@ -6,6 +6,7 @@
   const auto status = static_cast<tunnel_status>(byte);
   switch (status) {
     case tunnel_status::kOpen:
+    case tunnel_status::kOpenChunked:
     case tunnel_status::kUnreachable:
     case tunnel_status::kNoPath:
     case tunnel_status::kUnknownEndpoint:
@@ -19,6 +20,8 @@
   switch (status) {
     case tunnel_status::kOpen:
       return "open";
+    case tunnel_status::kOpenChunked:
+      return "open_chunked";
     case tunnel_status::kUnreachable:
       return "unreachable";
     case tunnel_status::kNoPath:
--- a/tests/emulator/endpoint_emulator.cc
+++ b/tests/emulator/endpoint_emulator.cc
@@ -177,7 +177,7 @@
 void endpoint_emulator::ProduceEvents() {
   running_.remove_if([this](generation& run) {
     if (!std::exchange(run.head_sent, true)) {
-      run.response->BeginStream(ResponseHeaders(run.request));
+      run.response->BeginStream(ResponseHeaders(run.request), !options_.has_unframed_streams);
       if (run.is_crashing) {
         CrashSoon();
       }
--- a/tests/emulator/endpoint_emulator.h
+++ b/tests/emulator/endpoint_emulator.h
@@ -40,6 +40,8 @@
   /** Processing time relative to the normal one, as reported to the gateways. */
   double reported_slowdown = 1;
   endpoint_faults faults;
+  /** Streams have neither a length nor chunks, and end with their connection. */
+  bool has_unframed_streams = false;
   /** The engine crashes once it has begun to answer a request with this prompt part. */
   std::string crashing_part;
   std::uint64_t seed = 1;
--- a/tests/emulator/fleet_emulator.cc
+++ b/tests/emulator/fleet_emulator.cc
@@ -68,7 +68,8 @@
     gateways_.push_back(std::make_unique<gateway_child>(
         gateway_options{fmt::format("vm-{}", i), fmt::format("domain-{}", i % 3), StoreAddressOf(i),
                         folder_, options_.further_settings}));
-    gateways_.back()->Start();
+    gateways_.back()->Start(i < options_.production_gateways ? gateway_build::kProduction
+                                                             : gateway_build::kCurrent);
   }
 }
 
@@ -105,6 +106,7 @@
     options.faults = options_.plain_faults;
   } else {
     options.crashing_part = options_.crashing_part;
+    options.has_unframed_streams = options_.has_unframed_streams;
   }
   auto& group = service == kPlain ? plain_ : engines_;
   group.push_back(
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -29,12 +29,16 @@
   /** Failure domains over which the endpoints are spread; the gateways use three. */
   std::size_t endpoint_domains = 1;
   endpoint_faults plain_faults;
+  /** Streams of the engines have neither a length nor chunks, and end with their connection. */
+  bool has_unframed_streams = false;
   /** Prompt part that crashes each engine which begins to answer a request with it. */
   std::string crashing_part;
   /** Time after which a crashed engine is back as a new one. */
   std::chrono::milliseconds engine_restart{1500};
   /** Time between two events of an engine's streams. */
   std::chrono::milliseconds event_interval{5};
+  /** The first ones run the version in production, the others the current one. */
+  std::size_t production_gateways = 0;
   /** Further tables of each gateway's settings file. */
   std::string further_settings;
   std::uint64_t seed = 1;
--- a/tests/emulator/gateway_child.cc
+++ b/tests/emulator/gateway_child.cc
@@ -99,9 +99,14 @@
   Kill();
 }
 
-void gateway_child::Start() {
+bool HasProductionBuild() {
+  return std::filesystem::exists(TARRAGON_PRODUCTION_PROGRAM);
+}
+
+void gateway_child::Start(gateway_build build) {
   TARRAGON_INVARIANT(process_ == 0, "the gateway process is already running");
-  std::string program = TARRAGON_GATEWAY_PROGRAM;
+  std::string program =
+      build == gateway_build::kCurrent ? TARRAGON_GATEWAY_PROGRAM : TARRAGON_PRODUCTION_PROGRAM;
   std::string argument = "--settings=" + settings_file_;
   const std::array<char*, 3> arguments = {program.data(), argument.data(), nullptr};
   posix_spawn_file_actions_t file_actions;
--- a/tests/emulator/gateway_child.h
+++ b/tests/emulator/gateway_child.h
@@ -5,6 +5,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,16 @@
   std::string further_settings = {};
 };
 
+/** Which build of the gateway a process runs. */
+enum class gateway_build : std::uint8_t {
+  kCurrent,
+  /** The version in production, from which an upgrade begins. */
+  kProduction,
+};
+
+/** @return whether the version in production could be built from this checkout's history. */
+bool HasProductionBuild();
+
 /** A real `tarragon-gateway` process, killed when this object is destroyed. */
 class gateway_child final {
  public:
@@ -28,8 +39,8 @@
   gateway_child(const gateway_child&) = delete;
   gateway_child& operator=(const gateway_child&) = delete;
 
-  /** Starts the process; may be called again once it has exited. */
-  void Start();
+  /** Starts the process; may be called again, and with another build, once it has exited. */
+  void Start(gateway_build build = gateway_build::kCurrent);
   /** Sends a signal to the process if it is running. */
   void SendSignal(int signal) const;
   /** Kills the process and waits until it has exited. */
--- a/tests/emulator/http_service.cc
+++ b/tests/emulator/http_service.cc
@@ -95,15 +95,18 @@
     Write(text);
     on_closed = nullptr;
   }
-  void BeginStream(const std::vector<http::header>& headers) override {
-    Write(FormatHead(200, headers) + "Transfer-Encoding: chunked\r\n\r\n");
+  void BeginStream(const std::vector<http::header>& headers, bool is_chunked) override {
+    is_chunked_ = is_chunked;
+    Write(FormatHead(200, headers) + (is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
   }
   void SendChunk(std::string_view bytes) override {
-    Write(fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes));
+    Write(is_chunked_ ? fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes) : std::string(bytes));
   }
   void EndStream() override {
-    Write("0\r\n\r\n");
     on_closed = nullptr;
+    closes_after_write_ = !is_chunked_;
+    Write(is_chunked_ ? "0\r\n\r\n" : "");
+    CloseIfWritten();
   }
   void Reset() override {
     if (!is_closed_) {
@@ -142,10 +145,18 @@
                         self->writing_.clear();
                         if (!error) {
                           self->Write({});
+                          self->CloseIfWritten();
                         }
                       });
   }
 
+  void CloseIfWritten() {
+    if (closes_after_write_ && !is_closed_ && writing_.empty() && unsent_.empty()) {
+      asio::error_code ignored;
+      socket_.shutdown(asio::socket_base::shutdown_send, ignored);
+    }
+  }
+
   void MarkClosed() {
     is_closed_ = true;
     if (const auto callback = std::exchange(on_closed, nullptr)) {
@@ -161,6 +172,8 @@
   std::string unsent_;
   std::string writing_;
   bool is_closed_ = false;
+  bool is_chunked_ = true;
+  bool closes_after_write_ = false;
 };
 
 http_service::http_service(asio::io_context& loop, handler on_request)
--- a/tests/emulator/http_service.h
+++ b/tests/emulator/http_service.h
@@ -32,8 +32,8 @@
   virtual void SendWhole(int status,
                          const std::vector<http::header>& headers,
                          std::string_view body) = 0;
-  /** Starts a chunked response with status 200. */
-  virtual void BeginStream(const std::vector<http::header>& headers) = 0;
+  /** Starts a response with status 200. @param is_chunked otherwise its connection ends it. */
+  virtual void BeginStream(const std::vector<http::header>& headers, bool is_chunked) = 0;
   virtual void SendChunk(std::string_view bytes) = 0;
   virtual void EndStream() = 0;
   /** Resets the connection. */
