Take no end of a connection for a response's while the request is written

Callers saw: a worker that answered a long upload at once without a length and reset the connection had part of its answer passed on as a whole one.

Cause: a socket reports a reset once. The event loop tries the pending write first, which takes the error; the read after it sees an orderly end.

Change: CompletesResponse wants the whole request written without an error. An orderly end during the upload completes nothing either, as a killed process ends its connections like that.

Ruled out: looking at the error of the write alone, which misses the killed process.

--- a/include/tarragon/gateway/connection_ending.h
+++ b/include/tarragon/gateway/connection_ending.h
@@ -21,6 +21,8 @@
   bool is_orderly = false;
   /** The other daemon has stated that the endpoint has ended its bytes. */
   bool is_stated = false;
+  /** All bytes of the request have been written without an error. */
+  bool is_request_written = false;
 };
 
 /**
--- a/include/tarragon/gateway/http_exchange.h
+++ b/include/tarragon/gateway/http_exchange.h
@@ -89,6 +89,7 @@
   exchange_listener* listener_;
   http::message_reader reader_;
   std::string request_;
+  bool is_request_written_ = false;
   endpoint_path path_ = endpoint_path::kDirect;
   tunnel_chunk_reader chunks_;
   std::array<char, kReadBytes> buffer_{};
--- a/src/gateway/connection_ending.cc
+++ b/src/gateway/connection_ending.cc
@@ -3,6 +3,10 @@
 namespace tarragon::gateway {
 
 bool CompletesResponse(const connection_ending& ending) {
+  // A failed write takes the error of a reset, so that the read after it sees an orderly end.
+  if (!ending.is_request_written) {
+    return false;
+  }
   switch (ending.path) {
     case endpoint_path::kDirect:
       return ending.is_orderly;
--- a/src/gateway/http_exchange.cc
+++ b/src/gateway/http_exchange.cc
@@ -55,8 +55,9 @@
 
 void http_exchange::Send() {
   asio::async_write(socket_, asio::buffer(request_),
-                    [self = shared_from_this()](const asio::error_code&, std::size_t) {
-                      // The pending read reports a failed write, perhaps after a response.
+                    [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                      // After a failed write, the pending read finds out what has arrived.
+                      self->is_request_written_ = !error;
                       self->request_ = {};
                     });
 }
@@ -114,7 +115,8 @@
   }
   if (CompletesResponse({.path = path_,
                          .is_orderly = is_orderly,
-                         .is_stated = chunks_.has_ended()})) {
+                         .is_stated = chunks_.has_ended(),
+                         .is_request_written = is_request_written_})) {
     reader_.Finish();
   }
   if (listener_ != nullptr && !ended_) {
--- a/tests/gateway/http_exchange_test.cc
+++ b/tests/gateway/http_exchange_test.cc
@@ -48,6 +48,62 @@
   exchange->Cancel();
 }
 
+/** How an answer without a length begins, and the route whose request gets it. */
+struct early_answer {
+  std::string_view target;
+  std::string_view service;
+  std::string_view part;
+};
+
+class early_answer_test : public http_exchange_test,
+                          public testing::WithParamInterface<early_answer> {
+ protected:
+  /** More than the buffers of a connection take, so that the upload cannot end. */
+  static constexpr std::size_t kUploadBytes = std::size_t{32} << 20;
+
+  static std::string Answer() {
+    return fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Signature: s\r\n\r\n{}",
+                       kRequestId, GetParam().part);
+  }
+
+  void Upload(scripted_endpoint::script answer) {
+    scripted_endpoint endpoint(loop, std::move(answer));
+    ListEndpoint("e1", std::string(GetParam().service), endpoint.address());
+    const auto handler =
+        Start("POST", std::string(GetParam().target), std::string(kUploadBytes, 'b'));
+    ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  }
+};
+
+// Guards against part of a body that reaches the caller as a complete answer: the reset of the
+// connection fails the write of the upload, after which the read sees an orderly end.
+TEST_P(early_answer_test, ResetDuringAnUploadIsNotTheEndOfTheAnswer) {
+  Upload([](auto& c) {
+    c.Send(Answer());
+    c.Reset();
+  });
+  EXPECT_FALSE(response.ended && response.status == 200);
+  EXPECT_TRUE(response.aborted || response.status == 502) << response.status;
+}
+
+// Guards against the same where the endpoint was killed: its sockets are closed without a reset, if
+// it has read all that had arrived.
+TEST_P(early_answer_test, EndDuringAnUploadIsNotTheEndOfTheAnswer) {
+  Upload([](auto& c) {
+    c.Send(Answer());
+    c.EndOutput();
+  });
+  EXPECT_FALSE(response.ended && response.status == 200);
+  EXPECT_TRUE(response.aborted || response.status == 502) << response.status;
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds,
+                         early_answer_test,
+                         testing::Values(early_answer{"/unsafe/1", "calls", "half"},
+                                         early_answer{"/safe/1", "calls", "half"},
+                                         early_answer{"/report/1", "engines",
+                                                      "id: 1\ndata: e1\n\n"}));
+
 // Guards against an unsafe request that runs at two endpoints after a pause of the process.
 TEST_F(http_exchange_test, UnsafeRequestRunsOnceAfterAPauseWhileConnecting) {
   int runs = 0;
--- a/tests/gateway/scripted_endpoint.h
+++ b/tests/gateway/scripted_endpoint.h
@@ -28,6 +28,8 @@
   }
   /** Closes the connection without a reset. */
   void Close() { socket_.close(); }
+  /** Ends what this side sends; the connection stays open and is read on. */
+  void EndOutput() { socket_.shutdown(asio::socket_base::shutdown_send); }
   void Reset() {
     socket_.set_option(asio::socket_base::linger(true, 0));
     socket_.close();
