Check responses against the grammar before they are parsed

Callers saw: answers whose status was 000, or in whose head the name of a header held a blank or a control byte, reached them as answers.

Cause: the packaged http-parser is built without its strict mode, and the reader took what it let through.

Change: the head of a response is checked as a whole (response_head_grammar), chunked bodies as they arrive (chunk_grammar), and the framing must be clear. An answer that echoes a second id is not the request's.

Ruled out: the parser's strict mode, which the package does not offer.

--- a/include/tarragon/http/message_reader.h
+++ b/include/tarragon/http/message_reader.h
@@ -51,7 +51,9 @@
 
 /**
  * Incremental reader of the HTTP/1.1 messages of one connection, based on the parser of the
- * `http-parser` library. Stops after each message and leaves the following bytes to the caller.
+ * `http-parser` library, which is lenient: a response is also checked against the grammar of RFC
+ * 9112, its head as a whole before the listener gets it. Stops after each message and leaves the
+ * following bytes to the caller.
  */
 class message_reader final {
  public:
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -408,8 +408,10 @@
 }
 
 bool request_handler::IsResponseToThisRequest(const http::message_head& head) const {
-  const auto echoed = head.headers.Find(gateway_.adapter.names().request_id);
-  return !echoed || *echoed == id_;
+  const std::string_view name = gateway_.adapter.names().request_id;
+  return std::ranges::none_of(head.headers, [&](const http::header_view& h) {
+    return http::EqualsIgnoringAsciiCase(h.name, name) && h.value != id_;
+  });
 }
 
 void request_handler::OnResponseHead(http::message_head head) {
--- a/src/http/message_reader.cc
+++ b/src/http/message_reader.cc
@@ -5,19 +5,42 @@
 #include <algorithm>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <utility>
 
+#include "tarragon/http/chunk_grammar.h"
+#include "tarragon/http/response_head_grammar.h"
+
 namespace tarragon::http {
 
 namespace {
 
 /** @return whether the text is a valid header name (RFC 9110, 5.6.2). */
 bool IsToken(std::string_view text) {
-  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
-  return !text.empty() && std::ranges::all_of(text, [&](char c) {
-    return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
-           kSymbols.find(c) != std::string_view::npos;
-  });
+  return !text.empty() && std::ranges::all_of(text, IsTokenCharacter);
+}
+
+bool IsNumber(std::string_view text) {
+  return !text.empty() && std::ranges::all_of(text, [](char c) { return c >= '0' && c <= '9'; });
+}
+
+/**
+ * @return whether the headers leave no doubt where the body of a response ends (RFC 9112, 6.1 to
+ *     6.3): a length is stated once, or the only encoding is `chunked`, but not both.
+ */
+bool HasClearFraming(const message_head& head) {
+  const auto count = [&head](std::string_view name) {
+    return std::ranges::count_if(head.headers, [name](const header_view& h) {
+      return EqualsIgnoringAsciiCase(h.name, name);
+    });
+  };
+  const auto lengths = count("Content-Length");
+  const auto encodings = count("Transfer-Encoding");
+  if (encodings > 0) {
+    return encodings == 1 && lengths == 0 && head.is_http_1_1_or_later &&
+           EqualsIgnoringAsciiCase(*head.headers.Find("Transfer-Encoding"), "chunked");
+  }
+  return lengths == 0 || (lengths == 1 && IsNumber(*head.headers.Find("Content-Length")));
 }
 
 }  // namespace
@@ -38,10 +61,6 @@
     if (name.empty()) {
       return true;
     }
-    if (parser.type == HTTP_RESPONSE) {
-      // A proxy removes blanks before the colon of a response's header (RFC 9112, 5.1).
-      name.erase(name.find_last_not_of(" \t") + 1);
-    }
     if (!IsToken(name) || name.size() > header_list::kMaxNameBytes) {
       return false;
     }
@@ -69,6 +88,11 @@
   std::size_t& CountedBytes() { return headers_begun ? header_bytes : start_line_bytes; }
 
   std::size_t Parse(std::string_view bytes);
+  /**
+   * Checks bytes of a response before they are parsed. @return the valid ones up to the end of the
+   * head or, after it, all valid ones.
+   */
+  std::string_view CheckResponse(std::string_view bytes);
   void PrepareForNextMessage();
 
   http_parser parser{};
@@ -92,6 +116,10 @@
   /** The head is complete: further fields are trailers, which are not passed on. */
   bool has_head = false;
   bool expect_no_body = false;
+  response_head_grammar head_grammar;
+  chunk_grammar chunks;
+  /** No byte of the response has broken its grammar. */
+  bool is_valid = true;
   reader_error error = reader_error::kNone;
 };
 
@@ -187,6 +215,9 @@
   head.is_http_1_1_or_later =
       parser->http_major > 1 || (parser->http_major == 1 && parser->http_minor > 0);
   head.has_delimited_body = state.expect_no_body || HasDelimitedBody(*parser);
+  if (parser->type == HTTP_RESPONSE && !HasClearFraming(head)) {
+    return kReject;
+  }
   state.listener.OnHead(std::exchange(head, {}));
   return state.expect_no_body ? kSkipBody : kContinue;
 }
@@ -231,6 +262,22 @@
   headers_begun = false;
   has_head = false;
   in_value = false;
+  head_grammar = {};
+  chunks = {};
+}
+
+std::string_view message_reader::state::CheckResponse(std::string_view bytes) {
+  if (!has_head) {
+    const std::optional<std::size_t> head_bytes = head_grammar.Feed(bytes);
+    is_valid = head_bytes.has_value();
+    return bytes.substr(0, head_bytes.value_or(0));
+  }
+  if ((parser.flags & F_CHUNKED) == 0) {
+    return bytes;
+  }
+  const std::size_t valid_bytes = chunks.Feed(bytes);
+  is_valid = valid_bytes == bytes.size();
+  return bytes.substr(0, valid_bytes);
 }
 
 /**
@@ -243,6 +290,15 @@
   if (in_head) {
     bytes = bytes.substr(0, max_header_bytes - CountedBytes());
   }
+  if (parser.type == HTTP_RESPONSE) {
+    bytes = CheckResponse(bytes);
+  }
+  if (!is_valid) {
+    error = reader_error::kMalformed;
+  }
+  if (bytes.empty()) {
+    return 0;
+  }
   parsed = bytes.data();
   const bool had_begun = headers_begun;
   const std::size_t consumed =
