Split the request handler's sources by what they decide

Change: sends and waits, responses, and recovery have a file each; the silence of a stream is a constant of the class. No line of a function has changed.

Result: the sorted lines of the files are those of the file before, but for includes, constants that two files use, and the head comments.

--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -29,7 +29,11 @@
 
 namespace tarragon::gateway {
 
-/** Handles one request from its arrival to its final response. */
+/**
+ * Handles one request from its arrival to its final response. `request_handler.cc` chooses
+ * endpoints and sends, `request_handler_responses.cc` reads and passes on responses, and
+ * `request_handler_recovery.cc` decides what follows a failed send.
+ */
 class request_handler final : public exchange_listener,
                               public std::enable_shared_from_this<request_handler> {
  public:
@@ -51,6 +55,9 @@
  private:
   /** Retry-After value of refusals for which there is no better estimate. */
   static constexpr std::chrono::milliseconds kDefaultRetryAfter{400};
+  /** Silence after which a stream's engine counts as failed; healthy events are tens of ms apart.
+   */
+  static constexpr std::chrono::milliseconds kStreamSilence{1200};
 
   // exchange_listener:
   void OnResponseHead(http::message_head head) override;
