--- a/tests/routing/endpoint_registry_test.cc
+++ b/tests/routing/endpoint_registry_test.cc
@@ -113,6 +113,35 @@
   }
 }
 
+// Guards against the same at a daemon that does not know when the store may have been back: another
+// daemon relays its rows, or the store has returned from a copy.
+TEST_F(endpoint_registry_test, RemovesEntryInTimeIfTheReturnIsNotKnown) {
+  constexpr milliseconds kUsualDelay(700);
+  constexpr milliseconds kContactTime(3000);
+  registry.Put(now, 1, Entry("a"));
+  registry.OnStoreUnavailable(now);
+  const time_point returned_at = now += milliseconds(6000);
+  now += kUsualDelay;
+  registry.OnStoreRecovered(now);
+  registry.Remove(now, 2, "a");
+  now = returned_at + milliseconds(2000);
+  registry.RemoveMissing(now);
+  EXPECT_TRUE(AcceptsWork("a"));
+  ASSERT_TRUE(registry.NextRemoval().has_value());
+  EXPECT_LT(*registry.NextRemoval(), returned_at + kContactTime);
+}
+
+// Guards against dropping all endpoints at a daemon that has found the store late.
+TEST_F(endpoint_registry_test, KeepsMissingEntriesForAWhileIfTheStoreWasFoundVeryLate) {
+  registry.Put(now, 1, Entry("a"));
+  registry.OnStoreUnavailable(now);
+  registry.OnStoreRecovered(now, milliseconds(2600));
+  registry.Remove(now, 2, "a");
+  now += milliseconds(1100);
+  registry.RemoveMissing(now);
+  EXPECT_TRUE(AcceptsWork("a"));
+}
+
 // Guards against keeping an endpoint that had announced before the outage that it leaves.
 TEST_F(endpoint_registry_test, RemovesLeavingEntryEvenAfterOutage) {
   registry.Put(now, 1, Entry("a", /*leaving=*/true));
