Emulator: endpoints listen on ports that no outgoing connection takes

Endpoints listened on ephemeral ports; a cut closes the listening socket and binds the port again, and meanwhile an outgoing connection may have got it. No fault of the product was seen.

--- a/tests/emulator/http_service.cc
+++ b/tests/emulator/http_service.cc
@@ -8,6 +8,8 @@
 #include <charconv>
 #include <utility>
 
+#include "emulator/port_reservation.h"
+
 namespace tarragon::emulator {
 
 namespace {
@@ -178,10 +180,11 @@
 
 http_service::http_service(asio::io_context& loop, handler on_request)
     : loop_(loop),
-      acceptor_(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      acceptor_(std::move(ReservePorts(loop, 1).front())),
       on_request_(std::move(on_request)),
       address_(fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port())) {
   KeepFromChildren(acceptor_.native_handle());
+  acceptor_.listen();
   Accept();
 }
 
