Emulator: a cut keeps the sockets of the endpoints bound

A spawned gateway closes the sockets that it must not inherit only after its parent has gone on. If an endpoint is cut off in that moment, its old listening socket is still open in the child, and the new one cannot be bound.

Change: the listening socket is shut down and listens again later; no new one is bound. The reserved ports stay, since only an explicitly bound port is kept.

--- a/tests/emulator/http_service.cc
+++ b/tests/emulator/http_service.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <asio/write.hpp>
@@ -195,6 +196,10 @@
 void http_service::Close() {
   asio::error_code ignored;
   acceptor_.close(ignored);
+  ResetConnections();
+}
+
+void http_service::ResetConnections() {
   for (const auto& weak : std::exchange(connections_, {})) {
     if (const auto open = weak.lock()) {
       open->Reset();
@@ -214,12 +219,13 @@
 }
 
 void http_service::Suspend() {
-  Close();
-  // A bound socket that does not listen refuses connections.
-  acceptor_ = asio::ip::tcp::acceptor(loop_, asio::ip::tcp::v4());
-  acceptor_.set_option(asio::socket_base::reuse_address(true));
-  acceptor_.bind(LocalEndpoint());
-  KeepFromChildren(acceptor_.native_handle());
+  asio::error_code ignored;
+  acceptor_.cancel(ignored);
+  // The socket stays bound, and refuses connections. A new one could not be bound at once: a
+  // gateway that was just spawned closes the sockets that it must not inherit only after its parent
+  // goes on.
+  ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+  ResetConnections();
 }
 
 void http_service::Resume() {
--- a/tests/emulator/http_service.h
+++ b/tests/emulator/http_service.h
@@ -69,6 +69,7 @@
   class connection;
 
   void Accept();
+  void ResetConnections();
   asio::ip::tcp::endpoint LocalEndpoint() const;
 
   asio::io_context& loop_;
