--- a/tests/emulator/fleet_soak_test.cc
+++ b/tests/emulator/fleet_soak_test.cc
@@ -25,12 +25,15 @@
 constexpr int kConnectionsPerGateway = 5;
 constexpr milliseconds kSettleTime{25000};
 
-/** Seeds run in CI; `TARRAGON_FLEET_SEED` selects another one. */
+/**
+ * Seeds run in CI; `TARRAGON_FLEET_SEED` selects another one. From 6 on they have failed before,
+ * because the emulator could not bind the port of an endpoint again after a cut.
+ */
 std::vector<std::uint64_t> SoakSeeds() {
   if (const char* seed = std::getenv("TARRAGON_FLEET_SEED")) {
     return {std::stoull(seed)};
   }
-  return {1, 2};
+  return {1, 2, 6, 11, 13, 16, 23, 41, 44};
 }
 
 /**
