Reset connections of HTTP/1.0 callers until their stream has been sent

Callers would see: a stream without chunks, whose last bytes wait in the gateway's buffer, looks complete if the gateway is killed in that moment.

Cause: the reset that a kill leaves was switched off when the stream had ended, not when its bytes had been written.

Change: it is switched off as the connection is closed.

--- a/include/tarragon/gateway/caller_connection.h
+++ b/include/tarragon/gateway/caller_connection.h
@@ -67,8 +67,8 @@
   void CountUnsent();
   void OnPeerClosed();
   void Close(bool reset);
-  /** Declares that the response has no length, so that only a reset shows that it is cut off. */
-  void SetEndsWithConnection(bool ends_with_connection);
+  /** Chooses whether the kernel resets the connection when it is closed, also by a kill. */
+  void SetResetsOnClose(bool resets);
   void ArmTimer();
   void OnTimer();
   time_point NextTimeout() const;
@@ -102,8 +102,9 @@
   bool omits_body_ = false;
   bool body_too_large_ = false;
   bool close_after_write_ = false;
-  /** A response without a length has begun, and not ended. */
+  /** A response without a length has begun and not ended: only a reset shows that it is cut off. */
   bool ends_with_connection_ = false;
+  bool resets_on_close_ = false;
   bool closed_ = false;
   bool consuming_ = false;
   bool counted_as_unsent_ = false;
--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -100,6 +100,8 @@
 
   /** Drops what has expired and sets the gauges; called several times a second. */
   void KeepHouse();
+  /** @return when to call `KeepHouse` next: after `interval`, or when an endpoint must go. */
+  time_point NextHousekeeping(std::chrono::milliseconds interval) const;
 
   /** Opens the account of a connection in the memory budget. `holder` is used until it is closed.
    */
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -9,6 +9,7 @@
 
 #include "tarragon/base/invariant.h"
 #include "tarragon/gateway/socket_options.h"
+#include "tarragon/http/reason_phrase.h"
 
 namespace tarragon::gateway {
 
@@ -42,35 +43,6 @@
   }
 }
 
-std::string_view ReasonPhrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 404:
-      return "Not Found";
-    case 408:
-      return "Request Timeout";
-    case 413:
-      return "Content Too Large";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 500:
-      return "Internal Server Error";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
-}
-
 }  // namespace
 
 caller_connection::caller_connection(gateway_state& gateway, asio::ip::tcp::socket socket)
@@ -283,7 +255,7 @@
 std::string caller_connection::FormatHead(int status,
                                           http::header_list& headers,
                                           std::string_view framing) const {
-  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonPhrase(status));
+  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, http::ReasonPhrase(status));
   headers.AppendTo(text);
   text += framing;
   if (WillClose() || !chunked_response_) {
@@ -312,7 +284,8 @@
   const std::string_view framing = chunked_response_ ? "Transfer-Encoding: chunked\r\n" : "";
   close_after_write_ = WillClose() || !chunked_response_;
   if (!chunked_response_) {
-    SetEndsWithConnection(true);
+    ends_with_connection_ = true;
+    SetResetsOnClose(true);
   }
   Write(FormatHead(status, headers, framing));
 }
@@ -331,17 +304,8 @@
   Write(chunk);
 }
 
-void caller_connection::SetEndsWithConnection(bool ends_with_connection) {
-  ends_with_connection_ = ends_with_connection;
-  // Also resets the connection if the process is killed.
-  asio::error_code ignored;
-  socket_.set_option(asio::socket_base::linger(ends_with_connection, 0), ignored);
-}
-
 void caller_connection::EndStream() {
-  if (ends_with_connection_) {
-    SetEndsWithConnection(false);
-  }
+  ends_with_connection_ = false;
   if (chunked_response_ && !omits_body_) {
     Write("0\r\n\r\n");
   }
@@ -437,6 +401,13 @@
   }
 }
 
+void caller_connection::SetResetsOnClose(bool resets) {
+  if (std::exchange(resets_on_close_, resets) != resets) {
+    asio::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(resets, 0), ignored);
+  }
+}
+
 void caller_connection::Close(bool reset) {
   if (std::exchange(closed_, true)) {
     return;
@@ -450,8 +421,9 @@
   }
   asio::error_code ignored;
   if (reset || ends_with_connection_) {
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    SetResetsOnClose(true);
   } else {
+    SetResetsOnClose(false);
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   }
   socket_.close(ignored);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -274,10 +274,7 @@
   }
 
   void ScheduleHousekeeping() {
-    const time_point now = time.Now();
-    const time_point next = now + kHousekeepingInterval;
-    const time_point removal = shared.endpoints.NextRemoval().value_or(next);
-    housekeeping_timer.expires_at(removal > now ? std::min(next, removal) : next);
+    housekeeping_timer.expires_at(shared.NextHousekeeping(kHousekeepingInterval));
     housekeeping_timer.async_wait([this](const asio::error_code& error) {
       if (error) {
         return;
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -99,6 +99,13 @@
   }
 }
 
+time_point gateway_state::NextHousekeeping(std::chrono::milliseconds interval) const {
+  const time_point now = time.Now();
+  const time_point next = now + interval;
+  const time_point removal = endpoints.NextRemoval().value_or(next);
+  return removal > now ? std::min(next, removal) : next;
+}
+
 void gateway_state::KeepHouse() {
   const time_point now = time.Now();
   origins.Expire(now);
