--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -115,6 +115,8 @@
     target.sin_family = AF_INET;
     target.sin_port = htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1)));
     inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
+    buffer_.clear();
+    ended_.clear();
     fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (receive_buffer > 0) {
       ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
