--- a/review/standins-3/slow_reader.cpp
+++ b/review/standins-3/slow_reader.cpp
@@ -1,4 +1,4 @@
-// Case: clients with a small window stop reading for some seconds in the middle of a stream.
+// Case: clients with a small window read their streams slowly, but all the time.
 #include "standins.h"
 
 using namespace standins;
@@ -11,7 +11,9 @@
 constexpr std::int64_t kEventIntervalMs = 28;
 /** The kernel doubles this size. */
 constexpr int kReceiveBuffer = 4096;
-constexpr std::int64_t kPauseMs = 5000;
+/** 2.2 KB a second: the report is read after 28 s. */
+constexpr std::size_t kBytesAtOnce = 1024;
+constexpr std::int64_t kReadIntervalMs = 450;
 constexpr std::int64_t kDeadlineMs = 39000;
 /** Times that the rule allows a machine to close a kept connection without an answer. */
 constexpr int kAllowed = 3;
@@ -53,15 +55,15 @@
       }
       // A first request makes it a kept connection.
       const answer first = Exchange(open, MakeRequest("GET", "/read/x", name + "r", 2000), 2000);
+      if (HasTrouble()) {
+        open.ReadSlowly(kBytesAtOnce, kReadIntervalMs);
+      }
       const std::int64_t sent_at = NowMs();
       const bool sent = open.Send(MakeRequest("POST", "/report/x", name, kDeadlineMs,
                                               StreamHeaders(name, 3000, 4 * kEvents, kEvents),
                                               std::string(3000, 'p')));
       answer seen;
       const bool has_head = sent && open.ReadHead(seen.response, kDeadlineMs);
-      if (HasTrouble()) {
-        SleepMs(kPauseMs);
-      }
       seen.is_complete = has_head && open.ReadBody(seen.response, sent_at + kDeadlineMs - NowMs());
       record.Line("answer " + name + " first " + std::to_string(first.status) + " then head " +
                   std::to_string(has_head) + " complete " + std::to_string(seen.is_complete) +
--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -165,8 +165,14 @@
     return ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
   }
 
+  /** Reads at most so many bytes at once from now on, and waits after each read. */
+  void ReadSlowly(std::size_t bytes, std::int64_t pause_ms) {
+    bytes_at_once_ = bytes;
+    pause_ms_ = pause_ms;
+  }
+
   /** Reads more bytes. @return false at the end, on a reset, or after `timeout_ms`. */
-  bool Fill(std::int64_t timeout_ms, std::size_t most = 65536) {
+  bool Fill(std::int64_t timeout_ms) {
     if (timeout_ms >= 0) {
       pollfd waiting{fd_, POLLIN, 0};
       if (::poll(&waiting, 1, static_cast<int>(timeout_ms)) <= 0) {
@@ -174,13 +180,16 @@
         return false;
       }
     }
-    std::string part(most, '\0');
+    std::string part(bytes_at_once_, '\0');
     const ssize_t size = ::recv(fd_, part.data(), part.size(), 0);
     if (size <= 0) {
       ended_ = size == 0 ? "closed" : (errno == ECONNRESET ? "reset" : std::strerror(errno));
       return false;
     }
     buffer_.append(part, 0, static_cast<std::size_t>(size));
+    if (pause_ms_ > 0) {
+      SleepMs(pause_ms_);
+    }
     return true;
   }
 
@@ -261,6 +270,8 @@
   int fd_;
   std::string buffer_;
   std::string ended_;
+  std::size_t bytes_at_once_ = 65536;
+  std::int64_t pause_ms_ = 0;
 };
 
 /** Accepts connections on a free loopback port and serves each in a thread of its own. */
