--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -1,4 +1,4 @@
-// Stand-ins of the users' platform for the scripts in review/11 to review/15: the platform's store,
+// Stand-ins of the users' platform for the scripts in review/11 to review/13: the platform's store,
 // servers, clients and the start of gateway processes. They use blocking sockets, a thread for each
 // connection, loopback addresses and the real clock.
 #ifndef REVIEW_STANDINS_3_STANDINS_H_
