Review: a stream of a killed server reaches its client as a whole one

Cause: an answer without a length or chunks ends with its connection, and the kernel ends that of a killed process in order.

Change: case review/11, gravest first; the others move up by one.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the scripts in review/11 to review/13 into target/review-3.
+# Builds the stand-ins of the scripts in review/11 to review/14 into target/review-3.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -1,4 +1,4 @@
-// Stand-ins of the users' platform for the scripts in review/11 to review/13: the platform's store,
+// Stand-ins of the users' platform for the scripts in review/11 to review/14: the platform's store,
 // servers, clients and the start of gateway processes. They use blocking sockets, a thread for each
 // connection, loopback addresses and the real clock.
 #ifndef REVIEW_STANDINS_3_STANDINS_H_
@@ -65,7 +65,8 @@
 /** Writes `record.txt`: one line for each event, with the time since the start in ms. */
 class record_file {
  public:
-  explicit record_file(const std::string& path) : file_(path) {}
+  explicit record_file(const std::string& path, std::ios::openmode mode = std::ios::trunc)
+      : file_(path, std::ios::out | mode) {}
   void Line(const std::string& text) {
     const std::lock_guard lock(mutex_);
     file_ << NowMs() << " " << text << "\n" << std::flush;
@@ -688,6 +689,8 @@
   int slots = 24;
   /** Requests that may wait beside those that run. */
   int queue = 4;
+  /** Streams have neither a length nor chunks, and end with their connection. */
+  bool has_unframed_streams = false;
   /** Bytes of the data of an event. */
   std::size_t event_bytes = 240;
 
@@ -812,8 +815,9 @@
     std::uint64_t next = last.empty() ? 1 : std::strtoull(last.c_str(), nullptr, 10) + 1;
     SleepMs(first_ms);
     WaitWhileSilent();
-    if (!peer.Send(head +
-                   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+    const std::string framing =
+        has_unframed_streams ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n";
+    if (!peer.Send(head + "Content-Type: text/event-stream\r\n" + framing + "\r\n")) {
       return false;
     }
     for (; next <= events; ++next) {
@@ -825,11 +829,15 @@
                                 std::string(event_bytes, 'e') + "\n\n";
       char size[16];
       std::snprintf(size, sizeof size, "%zx\r\n", event.size());
-      if (!peer.Send(size + event + "\r\n")) {
+      if (!peer.Send(has_unframed_streams ? event : size + event + "\r\n")) {
         return false;
       }
       SleepMs(interval_ms);
     }
+    if (has_unframed_streams) {
+      peer.Close();
+      return true;
+    }
     return peer.Send("0\r\n\r\n");
   }
 
