--- a/review/standins-3/killed_server.cpp
+++ b/review/standins-3/killed_server.cpp
@@ -63,7 +63,8 @@
   }
 };
 
-int Run(const std::string& record_name) {
+/** @param has_trouble whether the script brings about its disruption. */
+int Run(const std::string& record_name, bool has_trouble) {
   record_file record(record_name);
   temporary_folder folder;
   store platform;
@@ -115,7 +116,7 @@
       }
     });
   }
-  if (HasTrouble()) {
+  if (has_trouble) {
     SleepMs(kKilledAtMs);
     record.Line("SIGKILL to the server " + servers.front().id);
     servers.front().Kill();
@@ -145,5 +146,8 @@
   if (count == 4 && std::string(arguments[1]) == "--serve") {
     return Serve(arguments[2], arguments[3]);
   }
-  return Run(arguments[1]);
+  if (count != 3) {
+    return kCannotRun;
+  }
+  return Run(arguments[1], std::string(arguments[2]) != "0");
 }
--- a/review/standins-3/slow_reader.cpp
+++ b/review/standins-3/slow_reader.cpp
@@ -18,7 +18,8 @@
 /** Times that the rule allows a machine to close a kept connection without an answer. */
 constexpr int kAllowed = 3;
 
-int Run(const std::string& record_name) {
+/** @param has_trouble whether the script brings about its disruption. */
+int Run(const std::string& record_name, bool has_trouble) {
   record_file record(record_name);
   temporary_folder folder;
   store platform;
@@ -55,7 +56,7 @@
       }
       // A first request makes it a kept connection.
       const answer first = Exchange(open, MakeRequest("GET", "/read/x", name + "r", 2000), 2000);
-      if (HasTrouble()) {
+      if (has_trouble) {
         open.ReadSlowly(kBytesAtOnce, kReadIntervalMs);
       }
       const std::int64_t sent_at = NowMs();
@@ -92,7 +93,10 @@
 
 }  // namespace
 
-int main(int, char** arguments) {
+int main(int count, char** arguments) {
   std::signal(SIGPIPE, SIG_IGN);
-  return Run(arguments[1]);
+  if (count != 3) {
+    return kCannotRun;
+  }
+  return Run(arguments[1], std::string(arguments[2]) != "0");
 }
--- a/review/standins-3/stopped_gateway.cpp
+++ b/review/standins-3/stopped_gateway.cpp
@@ -19,7 +19,8 @@
 constexpr std::int64_t kSilentAtMs = 6300;
 constexpr std::int64_t kSilenceMs = 1500;
 
-int Run(const std::string& record_name) {
+/** @param has_trouble whether the script brings about its disruption. */
+int Run(const std::string& record_name, bool has_trouble) {
   record_file record(record_name);
   temporary_folder folder;
   store platform;
@@ -110,7 +111,7 @@
   record.Line("SIGTERM");
   entry.Signal(SIGTERM);
   stopped_at = NowMs();
-  if (HasTrouble()) {
+  if (has_trouble) {
     SleepMs(stopped_at + kSilentAtMs - NowMs());
     worker& silent = workers.front();
     record.Line("silent " + silent.id() + " running " + std::to_string(silent.running));
@@ -132,7 +133,10 @@
 
 }  // namespace
 
-int main(int, char** arguments) {
+int main(int count, char** arguments) {
   std::signal(SIGPIPE, SIG_IGN);
-  return Run(arguments[1]);
+  if (count != 3) {
+    return kCannotRun;
+  }
+  return Run(arguments[1], std::string(arguments[2]) != "0");
 }
