--- a/review/standins-3/killed_server.cpp
+++ b/review/standins-3/killed_server.cpp
@@ -13,6 +13,10 @@
 constexpr std::int64_t kKilledAtMs = 2000;
 constexpr std::int64_t kDeadlineMs = 39000;
 
+/** Time after which the platform removes the entry of a server that writes no more. */
+constexpr std::int64_t kEntryLifetimeMs = 3600;
+constexpr std::int64_t kHeartbeatMs = 1200;
+
 /** Serves one model server until the process ends, and prints its address and its row. */
 int Serve(const std::string& id, const std::string& record_name) {
   record_file record(record_name, std::ios::app);
@@ -54,6 +58,13 @@
     ::close(ends[0]);
     return !row.empty();
   }
+  /** @return the entry with the number of a heartbeat. */
+  std::string RowAt(int sequence) const {
+    const std::string first = "\"sequence\":1,";
+    std::string entry = row;
+    return entry.replace(entry.find(first), first.size(),
+                         "\"sequence\":" + std::to_string(sequence) + ",");
+  }
   void Kill() {
     if (pid > 0) {
       ::kill(pid, SIGKILL);
@@ -79,9 +90,31 @@
     }
     platform.Put("servers", added.id, added.row);
   }
+  std::atomic<std::int64_t> killed_at = -1;
+  std::atomic<bool> is_over = false;
+  std::thread heartbeats([&] {
+    for (int sequence = 2; !is_over; ++sequence) {
+      for (const server_process& known : servers) {
+        const bool is_dead = &known == &servers.front() && killed_at >= 0;
+        if (!is_dead) {
+          platform.Put("servers", known.id, known.RowAt(sequence));
+        } else if (NowMs() >= killed_at + kEntryLifetimeMs && platform.Has("servers", known.id)) {
+          platform.Remove("servers", known.id);
+        }
+      }
+      for (std::int64_t waited = 0; waited < kHeartbeatMs && !is_over; waited += 50) {
+        SleepMs(50);
+      }
+    }
+  });
+  const auto end_heartbeats = [&] {
+    is_over = true;
+    heartbeats.join();
+  };
   gateway entry("front-0", "tw-north-a", platform.address(), folder.path());
   entry.Start();
   if (!entry.WaitUntilReady(8000)) {
+    end_heartbeats();
     return kCannotRun;
   }
   SleepMs(2000);
@@ -120,10 +153,12 @@
     SleepMs(kKilledAtMs);
     record.Line("SIGKILL to the server " + servers.front().id);
     servers.front().Kill();
+    killed_at = NowMs();
   }
   for (std::thread& client : clients) {
     client.join();
   }
+  end_heartbeats();
   for (server_process& known : servers) {
     known.Kill();
   }
