Allow for one silence of a sound engine before a stopping process sends a stream

Cause: whether a stream ends before the process is judged by the pace that the engines have shown, with margins for a slower pace and a late start. A sound engine may also be silent for a second or so at any moment. The estimate took the next moment to be like the last one.

The logs now tell a silent engine from a slow one: request_finished has silent_ms, request_sent the time until the exit.

Change: MaxTimeNeeded adds kLongestSoundSilence (1.5 s) to the estimate of a generation of known size, at admission and before each send. Calls and streams without a size need all the time that they are allowed, which already covers a silence.

Ruled out: a stall of the gateway (other engines' streams were answered meanwhile); the move of a stream after 1.2 s of silence (it comes at the exit or later); the exit 0.3 s before the end of the grace period (each stream would have needed 0.2 s more than all of it).

--- a/include/tarragon/routing/drain_policy.h
+++ b/include/tarragon/routing/drain_policy.h
@@ -29,9 +29,22 @@
                       const generation_pace& pace,
                       const std::vector<endpoint_ptr>& engines);
 
-/** @return time from the send to the last event if a generation has the longest allowed output. */
+/**
+ * @return time from the send to the last event if a generation has the longest allowed output and
+ *     its engine is never silent.
+ */
 std::chrono::milliseconds MaxGenerationDuration(const work_size& size, const pace_bounds& bounds);
 
+/**
+ * @param time_allowed time after which the request ends at the latest.
+ * @return upper bound on the time from the send to the end of the response. A generation's allows
+ *     for one silence of a sound engine.
+ */
+std::chrono::milliseconds MaxTimeNeeded(const route& rule,
+                                        const work_size& size,
+                                        const pace_bounds& bounds,
+                                        std::chrono::milliseconds time_allowed);
+
 /**
  * @param time_allowed time after which the request ends at the latest.
  * @param remaining_time time until the process ends.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -204,7 +204,8 @@
                            {"parts", fmt::format("{}", fmt::join(admitted_.shared_parts, "/"))},
                            {"slowness", target_->slowness.Minimum().value_or(0)},
                            {"send", sends_},
-                           {"left_ms", RemainingTime().count()}});
+                           {"left_ms", RemainingTime().count()},
+                           {"exit_ms", gateway_.draining ? gateway_.TimeUntilExit().count() : -1}});
 }
 
 void request_handler::SendTo(const routing::endpoint_ptr& target,
@@ -370,6 +371,11 @@
 void request_handler::Finish(std::string_view outcome) {
   TARRAGON_INVARIANT(!finished_, "the request has already been finished");
   finished_ = true;
+  // Tells an engine that has fallen silent from one that is only slow.
+  const auto silence =
+      exchange_
+          ? std::chrono::floor<std::chrono::milliseconds>(gateway_.time.Now() - last_progress_at_)
+          : std::chrono::milliseconds(0);
   SetWaiting(false);
   if (copies_) {
     copies_->Release();
@@ -395,6 +401,7 @@
        {"sends", sends_},
        {"events", stream_.events_sent()},
        {"first_event_ms", first_event_delay_.count()},
+       {"silent_ms", silence.count()},
        {"longest_pause_ms",
         std::chrono::duration_cast<std::chrono::milliseconds>(stream_.longest_pause()).count()},
        {"age_ms", Age().count()}});
--- a/src/routing/drain_policy.cc
+++ b/src/routing/drain_policy.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <ranges>
 
+#include "tarragon/routing/sound_silence.h"
+
 namespace tarragon::routing {
 
 namespace {
@@ -68,16 +70,23 @@
       time(bounds.per_token, size.max_output_tokens));
 }
 
+std::chrono::milliseconds MaxTimeNeeded(const route& rule,
+                                        const work_size& size,
+                                        const pace_bounds& bounds,
+                                        std::chrono::milliseconds time_allowed) {
+  const bool has_known_size = size.max_output_tokens > 0;
+  if (rule.kind != repeat_kind::kStream || !has_known_size) {
+    return time_allowed;
+  }
+  return MaxGenerationDuration(size, bounds) + kLongestSoundSilence;
+}
+
 bool CanFinishInTime(const route& rule,
                      const work_size& size,
                      const pace_bounds& bounds,
                      std::chrono::milliseconds time_allowed,
                      std::chrono::milliseconds remaining_time) {
-  const bool has_known_size = size.max_output_tokens > 0;
-  if (rule.kind == repeat_kind::kStream && has_known_size) {
-    return MaxGenerationDuration(size, bounds) < remaining_time;
-  }
-  return time_allowed < remaining_time;
+  return MaxTimeNeeded(rule, size, bounds, time_allowed) < remaining_time;
 }
 
 }  // namespace tarragon::routing
--- a/tests/emulator/caller.h
+++ b/tests/emulator/caller.h
@@ -37,6 +37,8 @@
   void OmitSize() { states_size_ = false; }
   /** Sets the longest output that a stream's request states; 0 keeps the usual one of its kind. */
   void SetMaxOutput(std::uint64_t tokens) { max_output_ = tokens; }
+  /** Time that the caller waits for its whole answer. */
+  void SetDeadline(std::chrono::milliseconds deadline) { deadline_ = deadline; }
   /** Takes up the stream of another attempt after its last complete event. */
   void TakeUp(const caller& broken);
   /** Takes up a stream that this id began, after event `last_event`. */
@@ -50,6 +52,7 @@
 
   const std::string& id() const { return id_; }
   call_kind kind() const { return kind_; }
+  std::chrono::milliseconds deadline() const { return deadline_; }
   std::uint64_t events() const { return events_; }
   /** @return id of the last complete event that has arrived, in this attempt or before. */
   std::uint64_t last_event() const;
@@ -92,6 +95,7 @@
   std::uint64_t events_;
   std::string prompt_parts_;
   std::uint64_t max_output_ = 0;
+  std::chrono::milliseconds deadline_{20000};
   /** Id of the attempt whose stream is taken up; empty if there is none. */
   std::string resumed_id_;
   /** Last event of that stream before this attempt, and the version that began it. */
--- a/tests/emulator/endpoint_emulator.h
+++ b/tests/emulator/endpoint_emulator.h
@@ -37,6 +37,8 @@
   std::chrono::milliseconds event_interval{5};
   /** Time from a plain call to its response. */
   std::chrono::milliseconds call_duration{10};
+  /** Generations that run at once; further ones wait. */
+  std::size_t slots = 24;
   /** Processing time relative to the normal one, as reported to the gateways. */
   double reported_slowdown = 1;
   endpoint_faults faults;
@@ -86,6 +88,9 @@
   /** Becomes a new incarnation at the same address, which does not leave. */
   void Reincarnate(const std::string& id);
 
+  /** Sends nothing for this time, and then goes on; it still reads requests. */
+  void FallSilent(std::chrono::milliseconds time);
+
   /** Stops at once: resets all connections and loses all generations and copies. */
   void Crash();
   /** Called when a request with the crashing part has crashed the engine. */
@@ -113,6 +118,11 @@
   void Decline(const incoming_request& request, const responder_ptr& response, int status) const;
   void RecordRunEnd(const generation& run);
   void ProduceEvents();
+  bool is_silent() const { return std::chrono::steady_clock::now() < silent_until_; }
+  /** Answers a plain call once its time has passed and the endpoint is not silent. */
+  void AnswerCallAfter(std::chrono::milliseconds delay,
+                       const incoming_request& request,
+                       const responder_ptr& response);
   /** Lets the gateways read the head of a response, and then crashes. */
   void CrashSoon();
   bool ChooseWithProbability(double probability);
@@ -125,6 +135,7 @@
   std::optional<double> rate_limit_;
   std::optional<std::chrono::milliseconds> pause_;
   bool says_leaving_ = false;
+  std::chrono::steady_clock::time_point silent_until_;
   std::mt19937_64 random_;
   std::list<generation> running_;
   /** Event counts of the KV caches that other engines have copied here, by handle. */
--- a/tests/emulator/fleet_emulator.h
+++ b/tests/emulator/fleet_emulator.h
@@ -37,6 +37,11 @@
   std::chrono::milliseconds engine_restart{1500};
   /** Time between two events of an engine's streams. */
   std::chrono::milliseconds event_interval{5};
+  /** The first engines produce events at this interval instead. */
+  std::size_t slow_engines = 0;
+  std::chrono::milliseconds slow_event_interval{60};
+  /** Generations that an engine runs at once. */
+  std::size_t engine_slots = 24;
   /** The first ones run the version in production, the others the current one. */
   std::size_t production_gateways = 0;
   /** Further tables of each gateway's settings file. */
--- a/tests/routing/drain_policy_test.cc
+++ b/tests/routing/drain_policy_test.cc
@@ -4,6 +4,8 @@
 
 #include <memory>
 
+#include "tarragon/routing/sound_silence.h"
+
 namespace tarragon::routing {
 namespace {
 
@@ -25,6 +27,20 @@
   EXPECT_FALSE(CanFinishInTime(rule, short_answer, kUsualPace, rule.timeout, milliseconds(500)));
 }
 
+// Guards against a stream that is cut off when the process ends, because its sound engine was
+// silent for a moment, and against refusing what ends in spite of one silence.
+TEST(DrainPolicyTest, AllowsForOneSilenceOfASoundEngine) {
+  route rule;
+  rule.kind = repeat_kind::kStream;
+  rule.timeout = milliseconds(39000);
+  const work_size size{2200, 16, 52};
+  const milliseconds without_silence = MaxGenerationDuration(size, kUsualPace);
+  EXPECT_FALSE(CanFinishInTime(rule, size, kUsualPace, rule.timeout,
+                               without_silence + kLongestSoundSilence));
+  EXPECT_TRUE(CanFinishInTime(rule, size, kUsualPace, rule.timeout,
+                              without_silence + kLongestSoundSilence + milliseconds(1)));
+}
+
 // Guards against a draining process that accepts a call it cannot finish, or refuses one that it
 // can.
 TEST(DrainPolicyTest, AcceptsCallIfItsTimeoutFits) {
