Leave silences out of the pace that a stopping process assumes

Callers saw: for 10 to 20 s after a sound engine had been silent for a moment, a stopping process refused short streams that would have ended in time.

Cause: the pace is the slowest that was seen lately. A stream that waited for its first event through a silence counted as a slow start, and the silence in the middle of a short stream as slow events. Since the estimate allows for one silence in any case, each of them was counted twice.

Change: engine_silence finds the times in which an engine sent nothing to any running stream for 0.5 s or more; they are left out of the time to the first event, and the longest one out of a stream's mean interval, up to the 1.5 s that the estimate allows for.

Ruled out: a quantile in place of the maximum, as one silence delays all streams of its engine.

--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -154,6 +154,8 @@
   time_point sent_at_;
   /** Head of the response, or its last event. */
   time_point last_progress_at_;
+  /** Counted as a running stream in the silence of `target_`. */
+  bool has_begun_at_target_ = false;
   bool skipping_response_ = false;
   bool streaming_ = false;
   http::message_head response_head_;
--- a/include/tarragon/gateway/stream_progress.h
+++ b/include/tarragon/gateway/stream_progress.h
@@ -47,7 +47,10 @@
   bool has_begun() const { return last_arrival_.has_value(); }
   /** @return when the last events arrived; empty before the first ones. */
   std::optional<time_point> last_arrival() const { return last_arrival_; }
-  /** @return mean time between the events of the current engine; empty if there are too few. */
+  /**
+   * @return mean time between the events of the current engine without its longest silence; empty
+   *     if there are too few.
+   */
   std::optional<duration> MeanInterval() const;
   bool has_partial_event() const { return splitter_.has_partial_event(); }
   std::optional<std::uint64_t> last_event() const { return last_event_; }
@@ -64,6 +67,7 @@
   time_point first_arrival_in_send_;
   std::optional<time_point> last_arrival_;
   duration longest_pause_{0};
+  duration longest_pause_in_send_{0};
 };
 
 }  // namespace tarragon::gateway
--- a/include/tarragon/routing/endpoint_registry.h
+++ b/include/tarragon/routing/endpoint_registry.h
@@ -15,6 +15,7 @@
 #include "tarragon/base/clock.h"
 #include "tarragon/routing/cold_start.h"
 #include "tarragon/routing/endpoint_pause.h"
+#include "tarragon/routing/engine_silence.h"
 #include "tarragon/routing/evacuation_list.h"
 #include "tarragon/routing/event_interval_tracker.h"
 #include "tarragon/routing/rate_limit.h"
@@ -111,6 +112,7 @@
   slowness_tracker slowness;
   /** Time between two events of the endpoint's streams. */
   event_interval_tracker event_interval;
+  engine_silence silence;
   /** Rate at which the endpoint takes requests. */
   rate_limit limit;
   endpoint_pause pause;
--- a/include/tarragon/routing/sound_silence.h
+++ b/include/tarragon/routing/sound_silence.h
@@ -11,6 +11,12 @@
  */
 inline constexpr std::chrono::milliseconds kLongestSoundSilence{1500};
 
+/**
+ * Shortest time without an event that counts as a silence rather than as a slow pace. The longest
+ * pause between events in the users' site files is 180 ms.
+ */
+inline constexpr std::chrono::milliseconds kShortestSilence{500};
+
 }  // namespace tarragon::routing
 
 #endif  // TARRAGON_ROUTING_SOUND_SILENCE_H_
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -411,6 +411,9 @@
 }
 
 void request_handler::CloseExchange() {
+  if (std::exchange(has_begun_at_target_, false)) {
+    target_->silence.OnStreamEnded();
+  }
   if (exchange_) {
     exchange_->Cancel();
     exchange_.reset();
--- a/src/gateway/request_handler_responses.cc
+++ b/src/gateway/request_handler_responses.cc
@@ -130,9 +130,12 @@
   const time_point now = gateway_.time.Now();
   const bool first_of_send = stream_.is_awaiting_first_event();
   const std::optional<duration> interval = stream_.RecordArrival(now, batch);
+  target_->silence.OnEvent(now);
   routing::generation_pace& pace = gateway_.paces[admitted_.service_name];
   if (first_of_send) {
-    pace.RecordFirstEvent(now, now - sent_at_);
+    pace.RecordFirstEvent(now, now - sent_at_ - target_->silence.Within(sent_at_, now));
+    target_->silence.OnStreamBegun();
+    has_begun_at_target_ = true;
   } else if (const auto mean = stream_.MeanInterval()) {
     pace.RecordInterval(now, *mean);
   }
--- a/src/gateway/stream_progress.cc
+++ b/src/gateway/stream_progress.cc
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "tarragon/routing/sound_silence.h"
+
 namespace tarragon::gateway {
 
 namespace {
@@ -61,6 +63,9 @@
   last_arrival_ = now;
   if (events_in_send_ == 0) {
     first_arrival_in_send_ = now;
+    longest_pause_in_send_ = duration::zero();
+  } else {
+    longest_pause_in_send_ = std::max(longest_pause_in_send_, *interval);
   }
   events_in_send_ += batch.events;
   return interval;
@@ -71,8 +76,14 @@
   if (events_in_send_ < kMinEvents) {
     return std::nullopt;
   }
-  return (*last_arrival_ - first_arrival_in_send_) /
-         static_cast<duration::rep>(events_in_send_ - 1);
+  const duration span = *last_arrival_ - first_arrival_in_send_;
+  const auto intervals = static_cast<duration::rep>(events_in_send_ - 1);
+  if (longest_pause_in_send_ < routing::kShortestSilence) {
+    return span / intervals;
+  }
+  const duration silence =
+      std::min<duration>(longest_pause_in_send_, routing::kLongestSoundSilence);
+  return (span - silence) / (intervals - 1);
 }
 
 }  // namespace tarragon::gateway
--- a/tests/gateway/stopping_process_test.cc
+++ b/tests/gateway/stopping_process_test.cc
@@ -74,6 +74,26 @@
   EXPECT_TRUE(engine.connections.empty());
 }
 
+// Guards against refusing streams for many seconds after a silence, as if engines were slow.
+TEST_F(stopping_process_test, SilenceBeforeTheStopIsNoSlowStart) {
+  scripted_endpoint engine(loop, [](auto&) {});
+  ListEndpoint("e1", "engines", engine.address());
+  const auto running = Start("POST", "/report/1", "b", ShortGeneration());
+  ASSERT_TRUE(RunUntil([&] { return !engine.connections.empty(); }));
+  engine.connections[0]->Send(MakeStreamHead() + MakeEvent(1));
+  ASSERT_TRUE(RunUntil([&] { return !response.body.empty(); }));
+  recording_response_writer second;
+  const auto held_up = Start("POST", "/report/2", "b", ShortGeneration(), &second);
+  RunFor(std::chrono::milliseconds(900), [] { return false; });
+  engine.connections.at(0)->Send(MakeEvent(2));
+  engine.connections.at(1)->Send(MakeStreamHead() + MakeEvent(1));
+  ASSERT_TRUE(RunUntil([&] { return !second.body.empty(); }));
+  EXPECT_LT(gateway.PaceOf("engines").SlowestFirstEvent(time.Now()),
+            std::chrono::milliseconds(300));
+  running->OnCallerGone();
+  held_up->OnCallerGone();
+}
+
 // Guards against refusing what still has time to end.
 TEST_F(stopping_process_test, StreamThatCanStillEndIsSent) {
   scripted_endpoint engine(
--- a/tests/gateway/stream_progress_test.cc
+++ b/tests/gateway/stream_progress_test.cc
@@ -42,5 +42,18 @@
   EXPECT_FALSE(stream.is_awaiting_first_event());
 }
 
+// Guards against a stopping process that takes an engine for slow after one silence, and refuses
+// streams that end in time.
+TEST(StreamProgressTest, MeanIntervalLeavesOneSilenceOut) {
+  stream_progress stream;
+  time_point now{std::chrono::seconds(1)};
+  for (const int pause : {0, 30, 30, 1300, 30, 30}) {
+    stream.RecordArrival(now += milliseconds(pause), {"x", 1});
+  }
+  EXPECT_EQ(stream.MeanInterval(), milliseconds(30));
+  stream.RecordArrival(now += milliseconds(1300), {"x", 1});
+  EXPECT_GT(stream.MeanInterval(), milliseconds(250));
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
