Go by the caller's deadline when a stopping process admits a request

Callers saw: from the SIGTERM on, a stopping process refused calls and streams whose own deadline would have ended them well before the exit.

Cause: admission compared the time left with the timeout of the route, not with the shorter deadline of the caller, by which the request ends in any case; the check before a send already went by it. The estimate of a generation was not bounded by the deadline either, so that the allowance for a silence refused streams that could not outlast the process.

Change: both checks go by the time that the request is still allowed, and MaxTimeNeeded is never longer than that.

Ruled out: a shorter bound for calls from the latency that was seen, since a call that outlasts it would be answered 504 by the exit, with an unknown outcome.

--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -150,7 +150,9 @@
   if (gateway.quarantine.FindQuarantined(admitted.traits)) {
     return rejected_request{kUnavailable, "crashes_endpoints", kQuarantineRetryAfter};
   }
-  if (!CanFinishBeforeExit(gateway, admitted, route->timeout)) {
+  const auto time_allowed =
+      std::chrono::ceil<std::chrono::milliseconds>(admitted.deadline - gateway.time.Now());
+  if (!CanFinishBeforeExit(gateway, admitted, time_allowed)) {
     return rejected_request{kUnavailable, "draining", kDrainingRetryAfter};
   }
   return admitted;
--- a/src/routing/drain_policy.cc
+++ b/src/routing/drain_policy.cc
@@ -78,7 +78,7 @@
   if (rule.kind != repeat_kind::kStream || !has_known_size) {
     return time_allowed;
   }
-  return MaxGenerationDuration(size, bounds) + kLongestSoundSilence;
+  return std::min(MaxGenerationDuration(size, bounds) + kLongestSoundSilence, time_allowed);
 }
 
 bool CanFinishInTime(const route& rule,
--- a/tests/routing/drain_policy_test.cc
+++ b/tests/routing/drain_policy_test.cc
@@ -20,6 +20,7 @@
 TEST(DrainPolicyTest, AcceptsGenerationByItsMaxOutput) {
   route rule;
   rule.kind = repeat_kind::kStream;
+  rule.timeout = milliseconds(39000);
   const work_size report{3000, 100, 2000};
   EXPECT_FALSE(CanFinishInTime(rule, report, kUsualPace, rule.timeout, milliseconds(7700)));
   const work_size short_answer{2200, 16, 52};
@@ -74,6 +75,15 @@
   EXPECT_GT(BoundPace(kNow, {}, {}).per_token, kUsualPace.per_token);
 }
 
+// Guards against refusing a stream whose caller's deadline ends it before the process ends.
+TEST(DrainPolicyTest, StreamNeedsNoMoreThanItsTimeAllowed) {
+  route rule;
+  rule.kind = repeat_kind::kStream;
+  const work_size report{3000, 100, 2000};
+  EXPECT_TRUE(CanFinishInTime(rule, report, kUsualPace, milliseconds(2000), milliseconds(2100)));
+  EXPECT_FALSE(CanFinishInTime(rule, report, kUsualPace, milliseconds(2000), milliseconds(2000)));
+}
+
 // Guards against a stream of unknown length that is accepted until the process ends: its caller
 // states no size, and an empty size took no time.
 TEST(DrainPolicyTest, StreamWithoutSizeNeedsItsTimeout) {
