Let a stopping process wait for a silent engine if another would be too late

Callers saw: in the last seconds of a stop, a resumable stream at an engine that was silent for a moment was moved to another engine after 1.2 s, and cut there by the end of the process, though the first engine went on 0.2 s later.

Cause: the move looked at the last event only, not at the time left. At the other engine the prompt is read again.

Change: while a process is stopping, a stream whose rest would not end elsewhere before the exit stays at its engine for as long as a sound engine may be silent (1.5 s). A later move is still made, since the first engine has then failed.

Ruled out: no moves at all in a stop, which would leave streams at dead engines.

Test: stopping_process_test.StreamWaitsForASilentEngineIfAnotherWouldBeTooLate fails without the change (the stream is sent to the other engine).

--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -136,6 +136,8 @@
   std::chrono::milliseconds RemainingTime() const;
   std::chrono::milliseconds Age() const;
   std::optional<time_point> SilenceDeadline() const;
+  /** @return whether the rest of a stream ends before a stopping process if it is sent anew now. */
+  bool MoveEndsBeforeExit() const;
   /** @return whether the request can go on at another endpoint if its current send is ended. */
   bool CanMoveElsewhere() const;
   routing::request_progress Progress() const;
--- a/src/gateway/request_handler_recovery.cc
+++ b/src/gateway/request_handler_recovery.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "tarragon/gateway/request_handler.h"
+#include "tarragon/routing/sound_silence.h"
 
 namespace tarragon::gateway {
 
@@ -187,8 +188,23 @@
   if (!admitted_.route->resumable || !may_run_again) {
     return std::nullopt;
   }
-  return stream_.has_begun() ? last_progress_at_ + kStreamSilence
-                             : sent_at_ + 2 * admitted_.route->latency_objective;
+  // An engine that may still be sound is waited for if the exit would cut the stream elsewhere.
+  const duration least = MoveEndsBeforeExit() ? duration::zero() : routing::kLongestSoundSilence;
+  return stream_.has_begun()
+             ? last_progress_at_ + std::max<duration>(kStreamSilence, least)
+             : sent_at_ + std::max<duration>(2 * admitted_.route->latency_objective, least);
+}
+
+bool request_handler::MoveEndsBeforeExit() const {
+  if (!gateway_.draining) {
+    return true;
+  }
+  admitted_request rest = admitted_;
+  // An event holds one token or more.
+  const std::uint64_t made =
+      std::min<std::uint64_t>(stream_.events_sent(), std::max(rest.size.max_output_tokens, 1U) - 1);
+  rest.size.max_output_tokens -= static_cast<std::uint32_t>(made);
+  return CanFinishBeforeExit(gateway_, rest, RemainingTime());
 }
 
 bool request_handler::CanMoveElsewhere() const {
--- a/tests/gateway/stopping_process_test.cc
+++ b/tests/gateway/stopping_process_test.cc
@@ -99,6 +99,25 @@
   held_up->OnCallerGone();
 }
 
+// Guards against a stream that leaves a sound engine after a silence for another one, where the end
+// of the process cuts it off.
+TEST_F(stopping_process_test, StreamWaitsForASilentEngineIfAnotherWouldBeTooLate) {
+  scripted_endpoint silent(loop, [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(1)); });
+  scripted_endpoint other(loop, [](auto&) {});
+  ListEndpoint("e1", "engines", silent.address());
+  ListEndpoint("e2", "engines", other.address());
+  gateway.endpoints.Find("e2")->own_load = {.requests = 3, .unread_tokens = 1000};
+  const auto handler = Start("POST", "/short/1", "b", ShortGeneration());
+  ASSERT_TRUE(RunUntil([&] { return !response.body.empty(); }));
+  StopIn(std::chrono::milliseconds(2600));
+  RunFor(std::chrono::milliseconds(1400), [&] { return response.done(); });
+  EXPECT_TRUE(other.connections.empty());
+  silent.connections.at(0)->Send(MakeEvent(2) + std::string(kLastChunk));
+  ASSERT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_TRUE(response.ended);
+  gateway.endpoints.Find("e2")->own_load = {};
+}
+
 // Guards against refusing what still has time to end.
 TEST_F(stopping_process_test, StreamThatCanStillEndIsSent) {
   scripted_endpoint engine(
