Count a tunnel as open from its request on

Callers saw: nothing that was recorded; found by reading what decides the time of the exit. A stopping daemon is idle once it has no open tunnels, and a tunnel counted only after its status had been sent. Between that and the exit the other daemon sends its request: it would end with the connection, as one that may have run, which refuses calls that may run once (502) although no endpoint saw it.

Change: a tunnel counts from its request until it has failed or ended, so that the exit waits for it.

Test: tunnel_test.TunnelCountsAsOpenFromItsRequestOn fails without the change (0 open tunnels while one is being opened).

--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -157,7 +157,7 @@
   time_point exit_at;
   /** Requests that have no final response yet. */
   std::unordered_set<request_handler*> open_requests;
-  /** Connections that this daemon passes on for others. */
+  /** Connections that this daemon passes on for others, or is about to. */
   std::size_t open_tunnels = 0;
   /** Caller connections with response bytes that the kernel has not taken yet. */
   std::size_t unsent_connections = 0;
--- a/src/gateway/tunnel_server.cc
+++ b/src/gateway/tunnel_server.cc
@@ -22,6 +22,8 @@
   routing::endpoint_ptr target;
   tunnel_framing framing = tunnel_framing::kPlain;
   std::array<char, 1> status{};
+  /** Counted in `pending_` until the status has been sent. */
+  bool is_counted = false;
 };
 
 tunnel_server::tunnel_server(gateway_state& gateway, path_monitor& paths)
@@ -44,10 +46,11 @@
   } else if (paths_.IsCutOff(pending->target->entry.address)) {
     Reply(pending, tunnel_status::kNoPath);
   } else {
+    pending->is_counted = true;
     ++pending_;
+    OnCountChanged();
     const auto attempt = std::make_shared<connection_attempt>(gateway_.loop, &paths_);
     attempt->StartDirectly(pending->target->entry.address, [this, pending](connect_result result) {
-      --pending_;
       gateway_.RunGuarded("tunnel", [&] { OnConnected(pending, std::move(result)); });
     });
   }
@@ -78,8 +81,13 @@
   pending->status = {static_cast<char>(status)};
   asio::async_write(pending->daemon, asio::buffer(pending->status),
                     [this, pending](const asio::error_code& error, std::size_t) {
+                      if (std::exchange(pending->is_counted, false)) {
+                        --pending_;
+                      }
                       if (!error && pending->endpoint.is_open()) {
                         Begin(pending);
+                      } else {
+                        OnCountChanged();
                       }
                     });
 }
@@ -99,15 +107,15 @@
 void tunnel_server::OnEnded(const std::shared_ptr<tunnel>& ended) {
   tunnels_.erase(ended);
   OnCountChanged();
-  if (gateway_.on_work_done) {
-    gateway_.on_work_done();
-  }
 }
 
 void tunnel_server::OnCountChanged() {
-  gateway_.open_tunnels = tunnels_.size();
+  gateway_.open_tunnels = tunnels_.size() + pending_;
   gateway_.counters.Gauge("tarragon_gateway_open_tunnels")
-      .Set(static_cast<std::int64_t>(tunnels_.size()));
+      .Set(static_cast<std::int64_t>(gateway_.open_tunnels));
+  if (gateway_.open_tunnels == 0 && gateway_.on_work_done) {
+    gateway_.on_work_done();
+  }
 }
 
 }  // namespace tarragon::gateway
--- a/tests/gateway/tunnel_test.cc
+++ b/tests/gateway/tunnel_test.cc
@@ -110,5 +110,23 @@
   EXPECT_EQ(response.status, 503);
 }
 
+// Guards against a stopping daemon that exits between its word that a tunnel is open and the bytes
+// that follow: the request would count as one that may have run.
+TEST_F(tunnel_test, TunnelCountsAsOpenFromItsRequestOn) {
+  scripted_endpoint endpoint(loop, [](auto&) {});
+  ListEndpoints("calls", endpoint.address());
+  asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  asio::ip::tcp::socket asking(loop);
+  asking.connect(acceptor.local_endpoint());
+  server.Open(acceptor.accept(), {.endpoint_id = "e1", .accepts_chunks = true});
+  EXPECT_EQ(other.open_tunnels, 1U);
+  ASSERT_TRUE(RunUntil([&] {
+    EXPECT_EQ(other.open_tunnels, 1U);
+    return !endpoint.connections.empty() && asking.available() > 0;
+  }));
+  asking.close();
+  EXPECT_TRUE(RunUntil([&] { return other.open_tunnels == 0; }));
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
