Wait in a stop for requests that are arriving, and refuse them at the exit

Callers saw: a request whose body was still being sent 2.5 s after the SIGTERM was cut off without an answer when the process found itself idle.

Cause: the process counted as idle once no request was open. A request is open from its last byte on, so that an upload under way was not seen.

The timeouts of heads and bodies bound the wait as before.

Ruled out: refusing all uploads at the SIGTERM, as most arrive and are served within the grace period.

--- a/include/tarragon/gateway/caller_connection.h
+++ b/include/tarragon/gateway/caller_connection.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -29,8 +30,13 @@
   ~caller_connection() override;
 
   void Start();
+  /** Refuses a request that has arrived in part, and closes the connection. */
+  void RefuseUpload();
 
  private:
+  /** Retry-After of requests that are refused for want of memory. */
+  static constexpr std::chrono::milliseconds kScarceRetryAfter{1000};
+
   static constexpr std::size_t kReadBytes = 4096;
   /** Pipelined request bytes buffered while a request is served; reading pauses above this. */
   static constexpr std::size_t kMaxPendingBytes = std::size_t{64} << 10;
@@ -58,11 +64,16 @@
   void UpdateMemory();
   void Consume();
   void StartRequest();
-  void RejectRequest(int status, std::string_view reason);
+  /** @param retry_after sent with status 503. */
+  void RejectRequest(int status,
+                     std::string_view reason,
+                     std::chrono::milliseconds retry_after = kScarceRetryAfter);
   void RejectUnreadable();
   void OnResponseDone();
   void Write(std::string_view bytes);
   void Flush();
+  /** Keeps the gateway's list of uploads. */
+  void UpdateUpload();
   /** Keeps the gateway's count of connections with unsent bytes. */
   void CountUnsent();
   void OnPeerClosed();
--- a/include/tarragon/gateway/gateway_state.h
+++ b/include/tarragon/gateway/gateway_state.h
@@ -22,6 +22,7 @@
 #include "tarragon/gateway/event_log.h"
 #include "tarragon/gateway/memory_budget.h"
 #include "tarragon/gateway/platform_adapter.h"
+#include "tarragon/gateway/upload_list.h"
 #include "tarragon/routing/crash_quarantine.h"
 #include "tarragon/routing/endpoint_evidence.h"
 #include "tarragon/routing/endpoint_picker.h"
@@ -157,6 +158,8 @@
   time_point exit_at;
   /** Requests that have no final response yet. */
   std::unordered_set<request_handler*> open_requests;
+  /** Caller connections on which a part of a request has arrived. */
+  upload_list uploads;
   /** Connections that this daemon passes on for others, or is about to. */
   std::size_t open_tunnels = 0;
   /** Caller connections with response bytes that the kernel has not taken yet. */
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "tarragon/base/invariant.h"
+#include "tarragon/gateway/request_admission.h"
 #include "tarragon/gateway/socket_options.h"
 #include "tarragon/http/reason_phrase.h"
 
@@ -28,8 +29,6 @@
 
 /** Pause between two reads of a connection that holds much while memory is scarce. */
 constexpr std::chrono::milliseconds kScarceReadInterval{20};
-/** Sent to callers whose request was refused for want of memory. */
-constexpr std::string_view kScarceRetryAfter = "1.000";
 /** Capacity that a buffer keeps while it is empty. */
 constexpr std::size_t kKeptBytes = std::size_t{16} << 10;
 
@@ -63,6 +62,7 @@
   closed_ = true;
   gateway_.CloseAccount(account_);
   CountUnsent();
+  UpdateUpload();
 }
 
 void caller_connection::Start() {
@@ -134,6 +134,21 @@
   if (pending_.empty()) {
     Release(pending_);
   }
+  UpdateUpload();
+}
+
+void caller_connection::UpdateUpload() {
+  const bool is_uploading =
+      !closed_ && !handler_ && !close_after_write_ && reader_.is_inside_message();
+  if (gateway_.uploads.Update(*this, is_uploading) && gateway_.on_work_done) {
+    gateway_.on_work_done();
+  }
+}
+
+void caller_connection::RefuseUpload() {
+  request_ = {};
+  pending_ = {};
+  RejectRequest(kUnavailable, "draining", kDrainingRetryAfter);
 }
 
 void caller_connection::RejectUnreadable() {
@@ -233,7 +248,9 @@
   handler->Start();
 }
 
-void caller_connection::RejectRequest(int status, std::string_view reason) {
+void caller_connection::RejectRequest(int status,
+                                      std::string_view reason,
+                                      std::chrono::milliseconds retry_after) {
   TARRAGON_INVARIANT(!handler_, "a request that has been started was rejected as unread");
   gateway_.counters
       .Counter("tarragon_gateway_rejected_requests_total", fmt::format("reason=\"{}\"", reason))
@@ -242,10 +259,12 @@
   close_after_write_ = true;
   http::header_list headers;
   if (status == kUnavailable) {
-    headers.Add(gateway_.adapter.names().retry_after, kScarceRetryAfter);
+    const double seconds = std::chrono::duration<double>(retry_after).count();
+    headers.Add(gateway_.adapter.names().retry_after, fmt::format("{:.3f}", seconds));
   }
   gateway_.log.LogRequest("request_rejected", {{"status", status}, {"reason", reason}});
   SendResponse(status, std::move(headers), {});
+  UpdateUpload();
 }
 
 bool caller_connection::WillClose() const {
@@ -413,6 +432,7 @@
     return;
   }
   CountUnsent();
+  UpdateUpload();
   gateway_.CloseAccount(account_);
   timer_.cancel();
   if (paused_self_) {
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -74,8 +74,10 @@
 constexpr std::chrono::milliseconds kLoadBalancerRemovalTime{2500};
 /** Delay after a failed accept; requests end, and free descriptors, every few ms. */
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
-/** Part of the grace period reserved for closing connections. */
+/** Part of the grace period reserved for the last responses and the end of the process. */
 constexpr std::chrono::milliseconds kExitMargin{300};
+/** Time in which the last responses are written, and requests that still arrive are refused. */
+constexpr std::chrono::milliseconds kFinalWriteTime{50};
 
 std::uint64_t MakeRandomSeed() {
   std::random_device device;
@@ -341,8 +343,9 @@
 
   /** @return whether the process has nothing left to do for its callers. */
   bool IsIdle() const {
-    return shared.open_requests.empty() && shared.unsent_connections == 0 &&
-           shared.open_tunnels == 0 && time.Now() >= drain_started + kLoadBalancerRemovalTime;
+    return shared.open_requests.empty() && shared.uploads.empty() &&
+           shared.unsent_connections == 0 && shared.open_tunnels == 0 &&
+           time.Now() >= drain_started + kLoadBalancerRemovalTime;
   }
 
   void ExitIfIdle() {
@@ -365,14 +368,13 @@
     for (const auto& handler : OpenRequests()) {
       handler->EndForProcessExit();
     }
+    shared.uploads.RefuseAll(shared);
     log.LogState("stop", {{"after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                                            time.Now() - drain_started)
                                            .count()}});
     log.Flush();
     asio::error_code ignored;
     acceptor.close(ignored);
-    // Requests that arrive on open connections meanwhile are refused rather than cut off.
-    constexpr std::chrono::milliseconds kFinalWriteTime{50};
     exit_timer.expires_after(kFinalWriteTime);
     exit_timer.async_wait([this](const asio::error_code&) { loop.stop(); });
   }
