Use more of the grace period in a stop

A stopping process ended what was still open 0.3 s before the end of its grace period and was gone 0.25 s before it. The last responses take 50 ms (kFinalWriteTime); 0.1 s is kept for the end of the process.

Change: the exit begins 0.15 s before the end of the grace period.

Ruled out: the whole of it, as the platform kills the process then, and the last responses would be lost if the signal or a timer is handled late.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -75,7 +75,7 @@
 /** Delay after a failed accept; requests end, and free descriptors, every few ms. */
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
 /** Part of the grace period reserved for the last responses and the end of the process. */
-constexpr std::chrono::milliseconds kExitMargin{300};
+constexpr std::chrono::milliseconds kExitMargin{150};
 /** Time in which the last responses are written, and requests that still arrive are refused. */
 constexpr std::chrono::milliseconds kFinalWriteTime{50};
 
