Log how long the endpoint was silent also where a response ends with 504

request_finished took the silence from the open exchange, which is closed before an error response is sent, so that silent_ms was 0 for requests that the exit ended with 504. It is now the time since the last progress of the last send.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -373,7 +373,7 @@
   finished_ = true;
   // Tells an engine that has fallen silent from one that is only slow.
   const auto silence =
-      exchange_
+      sends_ > 0
           ? std::chrono::floor<std::chrono::milliseconds>(gateway_.time.Now() - last_progress_at_)
           : std::chrono::milliseconds(0);
   SetWaiting(false);
--- a/tests/emulator/planned_stop_test.cc
+++ b/tests/emulator/planned_stop_test.cc
@@ -118,7 +118,7 @@
                                [&](std::size_t i) { return fleet.gateway(i).HasExited(); });
   }
 
-  /** @return how many streams were refused in each second after the stop of their gateway. */
+  /** @return how many requests were refused in each second after the stop of their gateway. */
   std::string DescribeRefusals() const {
     std::vector<std::pair<int, int>> seconds_after(kGrace / seconds(1));
     for (std::size_t gateway = 0; gateway < kGateways; ++gateway) {
@@ -147,7 +147,7 @@
     const std::uint64_t longest = GetParam().has_trouble() ? 12 : 200;
     const std::uint64_t events = 1 + fleet.random()() % longest;
     std::shared_ptr<caller> request = fleet.MakeRequest(kind, events);
-    request->SetMaxOutput(events + fleet.random()() % (longest / 3));
+    request->SetMaxOutput(events + fleet.random()() % (longest * 3 / 10));
     if (GetParam().has_trouble()) {
       request->SetDeadline(milliseconds(1000 + fleet.random()() % 5000));
     }
