Keep a stream at a silent engine while the others are full

Cause: after 1.2 s without an event a stream left its engine for any other one, with room or not. The full ones declined it, and then it was refused by the age of its request, which for a stream that has begun is too high from the start.

Change: until an engine has been silent for longer than a sound one may be (1.5 s), its streams move only to engines with room. A stream that has begun waits for an endpoint until its caller is about to give up, as it does where endpoints have reached their limits.

Ruled out: no move before 1.5 s, which delays callers of dead engines where others have room; a second connection beside the first, since two engines would work on one stream.

Tests: stalled_stream_test.StreamStaysAtASilentEngineWhileTheOthersAreFull and OverloadPolicyTest.BegunStreamWaitsForAnEndpointUntilItsCallerGivesUp failed before; StreamLeavesAnEngineThatIsNotSound held before and holds.

--- a/include/tarragon/gateway/request_handler.h
+++ b/include/tarragon/gateway/request_handler.h
@@ -138,6 +138,8 @@
   std::optional<time_point> SilenceDeadline() const;
   /** @return whether the rest of a stream ends before a stopping process if it is sent anew now. */
   bool MoveEndsBeforeExit() const;
+  /** @return time until which the current endpoint may send nothing and still be sound. */
+  time_point SoundUntil() const;
   /** @return whether the request can go on at another endpoint if its current send is ended. */
   bool CanMoveElsewhere() const;
   routing::request_progress Progress() const;
--- a/include/tarragon/routing/overload_policy.h
+++ b/include/tarragon/routing/overload_policy.h
@@ -70,7 +70,8 @@
 /**
  * Decides what becomes of a request for which no endpoint was picked and no limit is the reason. It
  * is refused at once if all endpoints leave, or pause for too long. After a cooldown, or while new
- * endpoints may come, it waits for half of its objective.
+ * endpoints may come, it waits for half of its objective. A stream that has begun waits until its
+ * caller is about to give up.
  */
 overload_decision DecideWithoutEndpoint(const pick_result& pick,
                                         const waiting_request& request,
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -435,9 +435,11 @@
   }
   const time_point now = gateway_.time.Now();
   time_point next = admitted_.deadline;
-  // A limit that has passed is looked at again after the recheck interval.
-  if (const auto limit = SilenceDeadline(); limit && *limit > now) {
-    next = std::min(next, *limit);
+  // A limit that has passed is looked at again once the endpoint is no longer sound, and after the
+  // recheck interval.
+  if (const auto limit = SilenceDeadline()) {
+    const time_point look = *limit > now ? *limit : SoundUntil();
+    next = look > now ? std::min(next, look) : next;
   }
   const duration wait = std::max<duration>(next - now, std::chrono::milliseconds(1));
   // The silence deadline of a later send may be earlier than that of the current send.
--- a/src/gateway/request_handler_recovery.cc
+++ b/src/gateway/request_handler_recovery.cc
@@ -218,10 +218,20 @@
   }
   const bool sends_again = std::holds_alternative<routing::send_elsewhere>(step) ||
                            std::holds_alternative<routing::resume_elsewhere>(step);
+  if (!sends_again) {
+    return false;
+  }
   routing::pick_request wanted = MakePickRequest();
   wanted.excluded.push_back(target_->entry.id);
-  return sends_again &&
-         gateway_.picker.Pick(gateway_.time.Now(), gateway_.endpoints, wanted).chosen != nullptr;
+  const routing::pick_result pick =
+      gateway_.picker.Pick(gateway_.time.Now(), gateway_.endpoints, wanted);
+  // A full engine would decline the stream, whose own engine may still be sound.
+  const bool needs_capacity = wanted.engine != nullptr && gateway_.time.Now() < SoundUntil();
+  return pick.chosen != nullptr && (pick.has_capacity || !needs_capacity);
+}
+
+time_point request_handler::SoundUntil() const {
+  return (stream_.has_begun() ? last_progress_at_ : sent_at_) + routing::kLongestSoundSilence;
 }
 
 }  // namespace tarragon::gateway
--- a/src/routing/overload_policy.cc
+++ b/src/routing/overload_policy.cc
@@ -99,8 +99,9 @@
   if (pick.time_to_end_of_pause) {
     return DecideDuringPause(request, *pick.time_to_end_of_pause, point);
   }
-  if (request.age >=
-      duration_cast<duration>(kMaxRoomWaitInObjectives * request.latency_objective)) {
+  const double max_objectives = request.pause ? kMaxWaitInObjectives : kMaxRoomWaitInObjectives;
+  if (request.pause.value_or(request.age) >=
+      duration_cast<duration>(max_objectives * request.latency_objective)) {
     return refuse_for_overload{kReplacementTime};
   }
   return wait_for_capacity{kEndpointPollDelay};
--- a/tests/gateway/stalled_stream_test.cc
+++ b/tests/gateway/stalled_stream_test.cc
@@ -75,5 +75,42 @@
   gateway.endpoints.Find("e2")->own_load = {};
 }
 
+// Guards against a stream that leaves a sound engine for full ones, which decline it, so that it is
+// broken off.
+TEST_F(stalled_stream_test, StreamStaysAtASilentEngineWhileTheOthersAreFull) {
+  scripted_endpoint silent(loop, [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(1)); });
+  scripted_endpoint full(loop, [](auto& c) {
+    c.Send(MakeResponse("503 Service Unavailable", "", "Not-Executed: 1\r\n"));
+  });
+  ListEndpoint("e1", "engines", silent.address());
+  ListEndpoint("e2", "engines", full.address());
+  gateway.endpoints.Find("e2")->own_load = {.requests = 24, .tokens = 34000};
+  const auto handler = Start("POST", "/short/1", "b", {{"Deadline-Ms", "4000"}});
+  RunFor(std::chrono::milliseconds(1350), [&] { return response.done(); });
+  EXPECT_FALSE(response.done());
+  EXPECT_TRUE(full.connections.empty());
+  silent.connections.at(0)->Send(MakeEvent(2) + std::string(kLastChunk));
+  EXPECT_TRUE(RunUntil([&] { return response.done(); }));
+  EXPECT_TRUE(response.ended);
+  EXPECT_EQ(response.body, EventsText(1, 2));
+  gateway.endpoints.Find("e2")->own_load = {};
+}
+
+// Guards against a stream that stays for ever at an engine which is silent for longer than a sound
+// one.
+TEST_F(stalled_stream_test, StreamLeavesAnEngineThatIsNotSound) {
+  scripted_endpoint dead(loop, [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(1)); });
+  scripted_endpoint full(
+      loop, [](auto& c) { c.Send(MakeStreamHead() + MakeEvent(2) + std::string(kLastChunk)); });
+  ListEndpoint("e1", "engines", dead.address());
+  ListEndpoint("e2", "engines", full.address());
+  gateway.endpoints.Find("e2")->own_load = {.requests = 24, .tokens = 34000};
+  const auto handler = Start("POST", "/short/1", "b", {{"Deadline-Ms", "4000"}});
+  EXPECT_TRUE(RunFor(std::chrono::milliseconds(1800), [&] { return response.done(); }));
+  EXPECT_TRUE(response.ended);
+  EXPECT_EQ(response.body, EventsText(1, 2));
+  gateway.endpoints.Find("e2")->own_load = {};
+}
+
 }  // namespace
 }  // namespace tarragon::gateway
--- a/tests/routing/overload_policy_test.cc
+++ b/tests/routing/overload_policy_test.cc
@@ -171,5 +171,19 @@
   EXPECT_GE(waiting.in_time + waiting.late + waiting.refused, queued.in_time + queued.late);
 }
 
+// Guards against breaking off a stream that has begun at once, by the age of its request, because
+// the engines that are left have just declined it.
+TEST(OverloadPolicyTest, BegunStreamWaitsForAnEndpointUntilItsCallerGivesUp) {
+  waiting_request stream{.age = std::chrono::seconds(5),
+                         .latency_objective = std::chrono::milliseconds(1000),
+                         .remaining = std::chrono::seconds(10),
+                         .pause = std::chrono::milliseconds(1300)};
+  EXPECT_TRUE(
+      std::holds_alternative<wait_for_capacity>(DecideWithoutEndpoint(pick_result{}, stream, 0.5)));
+  stream.pause = std::chrono::milliseconds(3000);
+  EXPECT_TRUE(std::holds_alternative<refuse_for_overload>(
+      DecideWithoutEndpoint(pick_result{}, stream, 0.5)));
+}
+
 }  // namespace
 }  // namespace tarragon::routing
