--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -17,7 +17,6 @@
 #include <random>
 #include <ranges>
 #include <string>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
